net: listeners over cxxtools, outgoing connections over Beast

The listener library's own client sends a request again when a kept-alive connection dies; at most once cannot bear that, so outgoing connections write once and report how far the exchange came. An idle connection that the other end closed is noticed by a peek before the first byte, so it ends as NotSent and the pool may use a new one.

--- /dev/null
+++ b/src/net/http_connector.cpp
@@ -0,0 +1,303 @@
+/**
+ * @file http_connector.cpp
+ * Outgoing connections over Boost.Beast: one write is one send.
+ *
+ * The HTTP library of the listeners sends a request again by itself when a
+ * kept-alive connection dies, which at most once cannot bear.
+ */
+#include "net/http_connector_base.h"
+
+#include "net/http_connection_base.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <cerrno>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace monsooncroft::net {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using error_code = boost::system::error_code;
+
+constexpr std::size_t kLargestReplyBytes = 4 * 1024 * 1024;
+constexpr unsigned kHttpVersion = 11;
+/** Longest time that sent bytes stay unacknowledged, in milliseconds. */
+constexpr int kUnacknowledgedMs = 5000;
+
+using user_timeout =
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+/** A connection; its steps run on one strand. */
+class beast_connection
+  : public http_connection
+  , public std::enable_shared_from_this<beast_connection>
+{
+public:
+  beast_connection(asio::io_context& aContext, model::endpoint aPeer)
+    : mStrand(asio::make_strand(aContext))
+    , mStream(mStrand)
+    , mDeadline(mStrand)
+    , mPeer(std::move(aPeer))
+  {
+  }
+
+  void Exchange(const http_request& aRequest,
+                model::duration aTimeout,
+                callback aDone) override
+  {
+    asio::post(mStrand,
+               [self = shared_from_this(),
+                aRequest,
+                aTimeout,
+                done = std::move(aDone)]() mutable {
+                 self->Begin(aRequest, aTimeout, std::move(done));
+               });
+  }
+
+  void Close() override
+  {
+    mOpen = false;
+    asio::post(mStrand, [self = shared_from_this()] {
+      self->End(exchange_error::Cancelled);
+    });
+  }
+
+  bool IsOpen() const override { return mOpen; }
+
+private:
+  void Begin(const http_request& aRequest,
+             model::duration aTimeout,
+             callback aDone)
+  {
+    mDone = std::move(aDone);
+    mResult = exchange_result();
+    mParser.emplace();
+    mParser->body_limit(kLargestReplyBytes);
+    mRequest = { http::string_to_verb(aRequest.mMethod),
+                 aRequest.mTarget,
+                 kHttpVersion };
+    mRequest.set(http::field::host, mPeer.mAddress);
+    mRequest.set(http::field::content_type, "application/json");
+    mRequest.body() = aRequest.mBody;
+    mRequest.prepare_payload();
+    mDeadline.expires_after(aTimeout);
+    mDeadline.async_wait(
+      [self = shared_from_this(), turn = mTurn](const error_code& aError) {
+        if (!aError && turn == self->mTurn) {
+          self->End(exchange_error::Timeout);
+        }
+      });
+    if (!mUsed) {
+      Connect();
+    } else if (mOpen && IsQuiet()) {
+      Write();
+    } else {
+      End(exchange_error::Closed);
+    }
+  }
+
+  /**
+   * Whether an idle connection is still open with nothing to read: the other
+   * end may have closed it, and bytes that nobody asked for belong to no
+   * request.
+   */
+  bool IsQuiet()
+  {
+    char byte = 0;
+    const ssize_t count = ::recv(mStream.socket().native_handle(),
+                                 &byte,
+                                 sizeof byte,
+                                 MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void Connect()
+  {
+    mUsed = true;
+    error_code error;
+    const auto address = asio::ip::make_address(mPeer.mAddress, error);
+    if (error) {
+      End(exchange_error::ConnectFailed);
+      return;
+    }
+    mStream.socket().async_connect(
+      asio::ip::tcp::endpoint(address, mPeer.mPort),
+      [self = shared_from_this(), turn = mTurn](const error_code& aError) {
+        if (turn == self->mTurn) {
+          self->OnConnect(aError);
+        }
+      });
+  }
+
+  void OnConnect(const error_code& aError)
+  {
+    if (aError) {
+      const bool refused = aError == asio::error::connection_refused;
+      End(refused ? exchange_error::ConnectRefused
+                  : exchange_error::ConnectFailed);
+      return;
+    }
+    error_code ignored;
+    mStream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    mStream.socket().set_option(user_timeout(kUnacknowledgedMs), ignored);
+    mOpen = true;
+    Write();
+  }
+
+  void Write()
+  {
+    mResult.mState = send_state::MaybeSent;
+    http::async_write(mStream,
+                      mRequest,
+                      [self = shared_from_this(), turn = mTurn](
+                        const error_code& aError, std::size_t /*aBytes*/) {
+                        if (turn != self->mTurn) {
+                          return;
+                        }
+                        if (aError) {
+                          self->End(exchange_error::Closed);
+                        } else {
+                          self->Read();
+                        }
+                      });
+  }
+
+  void Read()
+  {
+    http::async_read(mStream,
+                     mBuffer,
+                     *mParser,
+                     [self = shared_from_this(), turn = mTurn](
+                       const error_code& aError, std::size_t /*aBytes*/) {
+                       if (turn == self->mTurn) {
+                         self->OnRead(aError);
+                       }
+                     });
+  }
+
+  void OnRead(const error_code& aError)
+  {
+    if (aError) {
+      const bool ended =
+        aError == http::error::end_of_stream ||
+        aError == http::error::partial_message ||
+        aError.category() == asio::error::get_system_category();
+      End(ended ? exchange_error::Closed : exchange_error::Malformed);
+      return;
+    }
+    auto message = mParser->release();
+    mResult.mState = send_state::Replied;
+    mResult.mResponse.mStatus = static_cast<int>(message.result_int());
+    mResult.mResponse.mClose = !message.keep_alive();
+    mResult.mResponse.mBody = std::move(message.body());
+    End(exchange_error::None);
+  }
+
+  /** Ends the exchange under way, if any; any error ends the connection. */
+  void End(exchange_error aError)
+  {
+    ++mTurn;
+    mDeadline.cancel();
+    mResult.mError = aError;
+    if (aError != exchange_error::None || mResult.mResponse.mClose) {
+      mOpen = false;
+      mUsed = true;
+      error_code ignored;
+      mStream.socket().close(ignored);
+    }
+    callback done = std::exchange(mDone, nullptr);
+    if (done) {
+      done(mResult);
+    }
+  }
+
+  asio::strand<asio::io_context::executor_type> mStrand;
+  beast::tcp_stream mStream;
+  asio::steady_timer mDeadline; ///< Bounds the exchange under way.
+  model::endpoint mPeer;
+  beast::flat_buffer mBuffer;
+  http::request<http::string_body> mRequest;
+  std::optional<http::response_parser<http::string_body>> mParser;
+  exchange_result mResult;
+  callback mDone;                  ///< Set while an exchange is under way.
+  unsigned long mTurn = 0;         ///< Steps of earlier exchanges do nothing.
+  bool mUsed = false;              ///< A connection is made only once.
+  std::atomic<bool> mOpen = false; ///< Connected and not ended.
+};
+
+class beast_connector : public http_connector
+{
+public:
+  explicit beast_connector(int aThreads)
+    : mWork(asio::make_work_guard(mContext))
+  {
+    for (int i = 0; i < aThreads; ++i) {
+      mThreads.emplace_back([this] { mContext.run(); });
+    }
+  }
+
+  ~beast_connector() override { beast_connector::Stop(); }
+
+  beast_connector(const beast_connector&) = delete;
+  beast_connector& operator=(const beast_connector&) = delete;
+  beast_connector(beast_connector&&) = delete;
+  beast_connector& operator=(beast_connector&&) = delete;
+
+  std::shared_ptr<http_connection> Open(const model::endpoint& aPeer) override
+  {
+    return std::make_shared<beast_connection>(mContext, aPeer);
+  }
+
+  void After(model::duration aDelay, std::function<void()> aTask) override
+  {
+    auto timer = std::make_shared<asio::steady_timer>(mContext, aDelay);
+    timer->async_wait(
+      [timer, task = std::move(aTask)](const error_code& aError) {
+        if (!aError) {
+          task();
+        }
+      });
+  }
+
+  void Stop() override
+  {
+    mWork.reset();
+    mContext.stop();
+    for (std::thread& thread : mThreads) {
+      thread.join();
+    }
+    mThreads.clear();
+  }
+
+private:
+  asio::io_context mContext;
+  asio::executor_work_guard<asio::io_context::executor_type> mWork;
+  std::vector<std::thread> mThreads;
+};
+
+} // namespace
+
+std::unique_ptr<http_connector>
+http_connector::Create(int aThreads)
+{
+  return std::make_unique<beast_connector>(aThreads);
+}
+
+} // namespace monsooncroft::net
--- a/src/net/http_pool_base.h
+++ b/src/net/http_pool_base.h
@@ -22,7 +22,8 @@
 {
 public:
   /**
-   * @param aConnector Makes the connections; outlives the pool.
+   * @param aConnector Makes the connections; outlives the pool, and is stopped
+   * before it ends.
    * @param aIdleLimit Idle connections kept for each endpoint.
    */
   http_pool(http_connector& aConnector, std::size_t aIdleLimit);
@@ -42,8 +43,12 @@
 private:
   using connection_ptr = std::shared_ptr<http_connection>;
 
-  connection_ptr Take(const model::endpoint& aPeer);
-  void Give(const model::endpoint& aPeer, connection_ptr aConnection);
+  connection_ptr TakeIdle(const model::endpoint& aPeer); ///< Null if none.
+  void SendOn(const connection_ptr& aConnection,
+              const model::endpoint& aPeer,
+              const http_request& aRequest,
+              model::duration aTimeout,
+              http_connection::callback aDone);
 
   struct state;
   http_connector& mConnector;
