--- /dev/null
+++ b/src/ops/metrics.cpp
@@ -0,0 +1,230 @@
+/**
+ * @file metrics.cpp
+ * Figures over Boost.Accumulators and Boost.Histogram.
+ */
+#include "ops/metrics_base.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <mutex>
+#include <sstream>
+
+namespace monsooncroft::ops {
+
+namespace {
+
+namespace acc = boost::accumulators;
+namespace bh = boost::histogram;
+
+using figure = acc::accumulator_set<
+  double,
+  acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max, acc::tag::sum>>;
+using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
+using latency_histogram = decltype(bh::make_histogram(log_axis(1, 0.1, 1.0)));
+using linear_axis = bh::axis::regular<>;
+using linear_histogram = decltype(bh::make_histogram(linear_axis(1, 0.0, 1.0)));
+
+constexpr int kLatencyBins = 120;
+constexpr double kLeastLatencyMs = 0.1;
+constexpr double kGreatestLatencyMs = 100000;
+constexpr int kCoverageBins = 20;
+constexpr double kCoverageEnd = 1.0001;
+constexpr int kAttemptBins = 32;
+constexpr double kMillisecondsPerMicrosecond = 0.001;
+constexpr double kExposedQuantiles[] = { 0.5, 0.95, 0.99, 0.999 };
+
+/**
+ * Upper edge of the bin that holds a quantile.
+ * @param aHistogram One-dimensional histogram.
+ * @param aQuantile Between 0 and 1.
+ */
+template<class Histogram>
+double
+Quantile(const Histogram& aHistogram, double aQuantile)
+{
+  double total = 0;
+  for (auto&& bin : bh::indexed(aHistogram, bh::coverage::all)) {
+    total += *bin;
+  }
+  double seen = 0;
+  for (auto&& bin : bh::indexed(aHistogram, bh::coverage::all)) {
+    seen += *bin;
+    if (total > 0 && seen >= aQuantile * total) {
+      return bin.bin().upper();
+    }
+  }
+  return 0;
+}
+
+/** What is kept for one key. */
+struct series
+{
+  latency_histogram mLatencyMs = bh::make_histogram(
+    log_axis(kLatencyBins, kLeastLatencyMs, kGreatestLatencyMs));
+  linear_histogram mCoverage =
+    bh::make_histogram(linear_axis(kCoverageBins, 0.0, kCoverageEnd));
+  linear_histogram mAttempts =
+    bh::make_histogram(linear_axis(kAttemptBins, 0.0, kAttemptBins));
+  figure mLatency;
+  figure mCoverageFigure;
+  figure mAttemptFigure;
+  figure mLeastAttempts;
+  std::map<std::string, long> mStatuses;
+};
+
+std::string
+Labels(const metrics_key& aKey)
+{
+  std::string out = "service=" + nlohmann::json(aKey.mService.Value()).dump();
+  out += ",kind=" + nlohmann::json(aKey.mKind.Value()).dump();
+  out += ",tenant=" + nlohmann::json(aKey.mTenant.Value()).dump();
+  return out;
+}
+
+void
+ExposeSummary(std::ostream& aOut,
+              const char* aName,
+              const std::string& aLabels,
+              const latency_histogram& aHistogram,
+              const figure& aFigure)
+{
+  for (const double quantile : kExposedQuantiles) {
+    aOut << aName << "{" << aLabels << ",quantile=\"" << quantile << "\"} "
+         << Quantile(aHistogram, quantile) << "\n";
+  }
+  aOut << aName << "_sum{" << aLabels << "} " << acc::sum(aFigure) << "\n";
+  aOut << aName << "_count{" << aLabels << "} " << acc::count(aFigure) << "\n";
+}
+
+template<class Histogram>
+void
+ExposeBuckets(std::ostream& aOut,
+              const char* aName,
+              const std::string& aLabels,
+              const Histogram& aHistogram,
+              const figure& aFigure)
+{
+  double seen = 0;
+  for (auto&& bin : bh::indexed(aHistogram)) {
+    seen += *bin;
+    if (*bin > 0) {
+      aOut << aName << "_bucket{" << aLabels << ",le=\"" << bin.bin().upper()
+           << "\"} " << seen << "\n";
+    }
+  }
+  aOut << aName << "_bucket{" << aLabels << ",le=\"+Inf\"} "
+       << acc::count(aFigure) << "\n";
+  aOut << aName << "_sum{" << aLabels << "} " << acc::sum(aFigure) << "\n";
+  aOut << aName << "_count{" << aLabels << "} " << acc::count(aFigure) << "\n";
+}
+
+} // namespace
+
+/** Everything under one innermost lock. */
+struct metrics::state
+{
+  mutable std::mutex mMutex;
+  std::map<metrics_key, series> mSeries;
+  std::map<std::string, long> mCounters;
+};
+
+metrics::metrics()
+  : mState(std::make_unique<state>())
+{
+}
+
+metrics::~metrics() = default;
+
+void
+metrics::RecordQuery(const metrics_key& aKey, const query_figures& aFigures)
+{
+  const double latencyMs = static_cast<double>(aFigures.mLatency.count()) *
+                           kMillisecondsPerMicrosecond;
+  const std::lock_guard lock(mState->mMutex);
+  series& kept = mState->mSeries[aKey];
+  kept.mLatencyMs(latencyMs);
+  kept.mLatency(latencyMs);
+  kept.mCoverage(aFigures.mCoverage);
+  kept.mCoverageFigure(aFigures.mCoverage);
+  kept.mAttempts(aFigures.mAttempts);
+  kept.mAttemptFigure(aFigures.mAttempts);
+  kept.mLeastAttempts(aFigures.mLeastAttempts);
+  ++kept.mStatuses[aFigures.mStatus];
+}
+
+void
+metrics::Count(const char* aName, long aBy)
+{
+  const std::lock_guard lock(mState->mMutex);
+  mState->mCounters[aName] += aBy;
+}
+
+std::string
+metrics::Exposition() const
+{
+  std::ostringstream out;
+  const std::lock_guard lock(mState->mMutex);
+  for (const auto& [name, value] : mState->mCounters) {
+    out << "monsooncroft_" << name << "_total " << value << "\n";
+  }
+  for (const auto& [key, kept] : mState->mSeries) {
+    const std::string labels = Labels(key);
+    ExposeSummary(out,
+                  "monsooncroft_query_latency_ms",
+                  labels,
+                  kept.mLatencyMs,
+                  kept.mLatency);
+    ExposeBuckets(out,
+                  "monsooncroft_query_coverage",
+                  labels,
+                  kept.mCoverage,
+                  kept.mCoverageFigure);
+    ExposeBuckets(out,
+                  "monsooncroft_query_attempts",
+                  labels,
+                  kept.mAttempts,
+                  kept.mAttemptFigure);
+    for (const auto& [status, count] : kept.mStatuses) {
+      out << "monsooncroft_queries_total{" << labels << ",status=\"" << status
+          << "\"} " << count << "\n";
+    }
+  }
+  return out.str();
+}
+
+std::string
+metrics::Summary() const
+{
+  nlohmann::json out;
+  const std::lock_guard lock(mState->mMutex);
+  out["counters"] = mState->mCounters;
+  out["queries"] = nlohmann::json::array();
+  for (const auto& [key, kept] : mState->mSeries) {
+    nlohmann::json row;
+    row["service"] = key.mService.Value();
+    row["kind"] = key.mKind.Value();
+    row["tenant"] = key.mTenant.Value();
+    row["count"] = acc::count(kept.mLatency);
+    row["latency_ms"] = { { "mean", acc::mean(kept.mLatency) },
+                          { "p50", Quantile(kept.mLatencyMs, 0.5) },
+                          { "p99", Quantile(kept.mLatencyMs, 0.99) },
+                          { "max", acc::max(kept.mLatency) } };
+    row["coverage_mean"] = acc::mean(kept.mCoverageFigure);
+    row["attempts"] = acc::sum(kept.mAttemptFigure);
+    row["least_attempts"] = acc::sum(kept.mLeastAttempts);
+    row["statuses"] = kept.mStatuses;
+    out["queries"].push_back(std::move(row));
+  }
+  return out.dump();
+}
+
+} // namespace monsooncroft::ops
