--- /dev/null
+++ b/src/policy/answer_func.cpp
@@ -0,0 +1,126 @@
+/**
+ * @file answer_func.cpp
+ * The final status and answer of a query.
+ */
+#include "policy/answer_func.h"
+#include "policy/merge_func.h"
+
+#include <algorithm>
+
+namespace monsooncroft::policy {
+
+namespace {
+
+/** Why an answer is not complete, from the first shard that shows it. */
+std::string
+Reason(const fanout_report& aReport, const merged_results& aMerged)
+{
+  if (!aMerged.mRejected.empty()) {
+    return "bad_result";
+  }
+  for (const shard_report& shard : aReport.mShards) {
+    if (shard.mFate == shard_fate::MaybeRan) {
+      return "shard_lost";
+    }
+  }
+  for (const shard_report& shard : aReport.mShards) {
+    if (shard.mFate == shard_fate::Answered) {
+      continue;
+    }
+    if (shard.mNotHeld) {
+      return "not_held";
+    }
+    return shard.mLast.mReason.empty() ? "not_sent" : shard.mLast.mReason;
+  }
+  return "";
+}
+
+merged_results
+Merge(const fanout_report& aReport, const model::contract& aContract)
+{
+  std::vector<shard_result> results;
+  for (const shard_report& shard : aReport.mShards) {
+    if (shard.mFate == shard_fate::Answered) {
+      results.push_back(shard_result{ shard.mShard, shard.mLast.mResult });
+    }
+  }
+  return MergeResults(aContract.mMerge, aContract.mLimit, results);
+}
+
+} // namespace
+
+model::status
+DecideStatus(const answer_facts& aFacts)
+{
+  if (aFacts.mAllAnswered) {
+    return model::status::Complete;
+  }
+  if (!aFacts.mAnyAnswered && !aFacts.mOthersMayRun) {
+    return model::status::NotRun;
+  }
+  const bool enough =
+    aFacts.mAnyAnswered && aFacts.mCoverage >= aFacts.mLeastCoverage;
+  if (aFacts.mIdempotent) {
+    return enough ? model::status::Partial : model::status::Failed;
+  }
+  return enough && !aFacts.mOthersMayRun ? model::status::Partial
+                                         : model::status::Unknown;
+}
+
+model::answer
+BuildAnswer(const fanout_plan& aPlan,
+            const fanout_report& aReport,
+            const model::service& aService,
+            const model::contract& aContract,
+            model::manifest_version aManifest)
+{
+  const merged_results merged = Merge(aReport, aContract);
+  const std::set<model::shard_id>& answered = merged.mMerged;
+  const auto inAnswer = [&](const model::shard& aShard) {
+    return answered.count(aShard.mId) != 0;
+  };
+  model::answer out;
+  out.mRequest = aPlan.mRequest;
+  out.mSnapshot = aPlan.mSnapshot;
+  out.mManifest = aManifest;
+  out.mCoverage = model::coverage::Of(aService, answered);
+  answer_facts facts;
+  facts.mIdempotent = aContract.mIdempotent;
+  facts.mLeastCoverage = aContract.mLeastCoverage;
+  facts.mCoverage = out.mCoverage.Fraction();
+  facts.mAllAnswered =
+    std::all_of(aService.mShards.begin(), aService.mShards.end(), inAnswer);
+  facts.mAnyAnswered = !answered.empty();
+  facts.mOthersMayRun =
+    !merged.mRejected.empty() ||
+    std::any_of(aReport.mShards.begin(),
+                aReport.mShards.end(),
+                [](const shard_report& aShard) {
+                  return aShard.mFate == shard_fate::MaybeRan;
+                });
+  out.mStatus = DecideStatus(facts);
+  if (out.mStatus != model::status::Complete) {
+    out.mReason = Reason(aReport, merged);
+  }
+  if (!answered.empty()) {
+    out.mResults = merged.mJson;
+  }
+  return out;
+}
+
+model::answer
+NotRunAnswer(const model::request_id& aRequest,
+             const model::service* aService,
+             const std::string& aReason)
+{
+  model::answer out;
+  out.mRequest = aRequest;
+  out.mStatus = model::status::NotRun;
+  out.mReason = aReason;
+  if (aService != nullptr) {
+    out.mCoverage = model::coverage::Of(*aService, {});
+  }
+  return out;
+}
+
+} // namespace monsooncroft::policy
