--- /dev/null
+++ b/src/policy/latency_tracker.cpp
@@ -0,0 +1,74 @@
+/**
+ * @file latency_tracker.cpp
+ * Quantiles by the P-square algorithm, window by window.
+ */
+#include "policy/latency_tracker_base.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+namespace monsooncroft::policy {
+
+namespace acc = boost::accumulators;
+
+/** The samples of one window, as an estimate in constant memory. */
+struct latency_tracker::window
+{
+  window(double aQuantile, model::instant aStart)
+    : mSamples(acc::quantile_probability = aQuantile)
+    , mStart(aStart)
+  {
+  }
+
+  std::optional<model::duration> Estimate() const
+  {
+    if (acc::count(mSamples) < kLeastSamples) {
+      return std::nullopt;
+    }
+    return model::duration(
+      static_cast<model::duration::rep>(acc::p_square_quantile(mSamples)));
+  }
+
+  acc::accumulator_set<double,
+                       acc::stats<acc::tag::count, acc::tag::p_square_quantile>>
+    mSamples;
+  model::instant mStart;
+};
+
+latency_tracker::latency_tracker(double aQuantile, model::duration aWindow)
+  : mQuantile(aQuantile)
+  , mLength(aWindow)
+{
+}
+
+latency_tracker::~latency_tracker() = default;
+latency_tracker::latency_tracker(latency_tracker&&) noexcept = default;
+latency_tracker&
+latency_tracker::operator=(latency_tracker&&) noexcept = default;
+
+void
+latency_tracker::Add(model::duration aLatency, model::instant aNow)
+{
+  if (mPresent && aNow - mPresent->mStart >= mLength) {
+    const std::optional<model::duration> ended = mPresent->Estimate();
+    mEstimate = ended ? ended : mEstimate;
+    mPresent.reset();
+  }
+  if (!mPresent) {
+    mPresent = std::make_unique<window>(mQuantile, aNow);
+  }
+  mPresent->mSamples(static_cast<double>(aLatency.count()));
+}
+
+std::optional<model::duration>
+latency_tracker::Quantile() const
+{
+  if (mEstimate || !mPresent) {
+    return mEstimate;
+  }
+  return mPresent->Estimate();
+}
+
+} // namespace monsooncroft::policy
