Record of intents, answer memory and leaf links: first usable interfaces

Cause: non-idempotent requests must run at most once, and attempts at leaves must never be sent twice behind the caller's back. Weighed: a nonce for each write against entries that carry the incarnation; the entries alone tell an instance its own writes, so no nonce is kept. Not yet: model check, tests, quarantine.

--- /dev/null
+++ b/src/link/leaf_link.cpp
@@ -0,0 +1,330 @@
+/**
+ * @file leaf_link.cpp
+ * Carrying attempts over the connections to one leaf.
+ */
+#include "link/leaf_link_base.h"
+
+#include "link/attempt_end_func.h"
+#include "link/leaf_codec_func.h"
+#include "link/link_state_base.h"
+#include "net/http_connection_base.h"
+#include "net/http_connector_base.h"
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace monsooncroft::link {
+
+namespace {
+
+constexpr std::chrono::milliseconds kProofTimeout{ 100 };
+constexpr std::chrono::milliseconds kCancelTimeout{ 500 };
+
+using connection_ptr = std::shared_ptr<net::http_connection>;
+
+/** A connection taken for one exchange. */
+struct taken
+{
+  pick_kind mKind = pick_kind::Full;
+  connection_number mNumber = 0;
+  connection_ptr mConnection;
+};
+
+/** An attempt until its end is told. */
+struct attempt
+{
+  execute_request mRequest;
+  model::instant mStarted;
+  model::instant mDeadline;
+  leaf_link::gate mMaySend;
+  leaf_link::attempt_callback mDone;
+};
+using attempt_ptr = std::shared_ptr<attempt>;
+
+/** The link over net's connections. */
+class connector_leaf_link final
+  : public leaf_link
+  , public std::enable_shared_from_this<connector_leaf_link>
+{
+public:
+  connector_leaf_link(net::http_connector& aConnector,
+                      model::leaf aLeaf,
+                      const link_settings& aSettings,
+                      clock aClock)
+    : mConnector(aConnector)
+    , mLeaf(std::move(aLeaf))
+    , mClock(std::move(aClock))
+    , mState(aSettings)
+  {
+  }
+
+  void Execute(const execute_request& aRequest,
+               model::duration aTimeout,
+               gate aMaySend,
+               attempt_callback aDone) override
+  {
+    const model::instant now = mClock();
+    Start(std::make_shared<attempt>(attempt{
+      aRequest, now, now + aTimeout, std::move(aMaySend), std::move(aDone) }));
+  }
+
+  void Cancel(const model::attempt_id& aAttempt) override
+  {
+    const taken use = Take(true);
+    if (use.mKind == pick_kind::Full) {
+      return;
+    }
+    use.mConnection->Exchange(
+      EncodeCancel(aAttempt),
+      kCancelTimeout,
+      [self = shared_from_this(), use](const net::exchange_result& aResult) {
+        self->End(use, EndOf(aResult));
+      });
+  }
+
+  void Probe(model::duration aTimeout, state_callback aDone) override
+  {
+    const taken use = Take(true);
+    if (use.mKind == pick_kind::Full) {
+      aDone(std::nullopt);
+      return;
+    }
+    use.mConnection->Exchange(
+      net::http_request{ "GET", kStateTarget, "" },
+      aTimeout,
+      [self = shared_from_this(), use, done = std::move(aDone)](
+        const net::exchange_result& aResult) {
+        self->End(use, EndOf(aResult));
+        done(StateOf(aResult));
+      });
+  }
+
+  void SetLimit(int aLimit) override
+  {
+    std::vector<connection_ptr> closing;
+    {
+      const std::lock_guard lock(mMutex);
+      closing = Remove(mState.SetLimit(aLimit));
+    }
+    Close(closing);
+  }
+
+  void OnTimer() override
+  {
+    std::vector<connection_ptr> closing;
+    {
+      const std::lock_guard lock(mMutex);
+      closing = Remove(mState.OnTimer(mClock()));
+    }
+    Close(closing);
+  }
+
+  std::size_t Connections() const override
+  {
+    const std::lock_guard lock(mMutex);
+    return mState.Count();
+  }
+
+private:
+  static std::optional<leaf_state> StateOf(const net::exchange_result& aResult)
+  {
+    if (aResult.mState != net::send_state::Replied) {
+      return std::nullopt;
+    }
+    return DecodeState(aResult.mResponse);
+  }
+
+  static void Close(const std::vector<connection_ptr>& aConnections)
+  {
+    for (const connection_ptr& connection : aConnections) {
+      connection->Close();
+    }
+  }
+
+  /** Forgets connections; they are to be closed without the lock. */
+  std::vector<connection_ptr> Remove(
+    const std::vector<connection_number>& aNumbers)
+  {
+    std::vector<connection_ptr> out;
+    for (const connection_number number : aNumbers) {
+      const auto found = mConnections.find(number);
+      if (found != mConnections.end()) {
+        out.push_back(std::move(found->second));
+        mConnections.erase(found);
+      }
+    }
+    return out;
+  }
+
+  /** Takes a connection that is open, or a new one. */
+  taken Take(bool aIdempotent)
+  {
+    std::vector<connection_ptr> closing;
+    taken out;
+    {
+      const std::lock_guard lock(mMutex);
+      out = TakeLocked(aIdempotent, closing);
+    }
+    Close(closing);
+    return out;
+  }
+
+  taken TakeLocked(bool aIdempotent, std::vector<connection_ptr>& aClosing)
+  {
+    while (true) {
+      const pick choice = mState.Pick(aIdempotent, mClock());
+      for (auto& connection : Remove(choice.mClose)) {
+        aClosing.push_back(std::move(connection));
+      }
+      if (choice.mKind == pick_kind::Full) {
+        return {};
+      }
+      connection_ptr& place = mConnections[choice.mConnection];
+      if (choice.mKind == pick_kind::Open) {
+        place = mConnector.Open(mLeaf.mEndpoint);
+      } else if (!place->IsOpen()) {
+        // The leaf closed it while it was idle: nothing was sent.
+        const auto ended =
+          mState.OnEnd(choice.mConnection, exchange_end::Broken, mClock());
+        for (auto& connection : Remove(ended)) {
+          aClosing.push_back(std::move(connection));
+        }
+        continue;
+      }
+      return { choice.mKind, choice.mConnection, place };
+    }
+  }
+
+  void End(const taken& aUse, exchange_end aEnd)
+  {
+    const bool open = aUse.mConnection->IsOpen();
+    const bool closed = aEnd == exchange_end::Replied && !open;
+    std::vector<connection_ptr> closing;
+    {
+      const std::lock_guard lock(mMutex);
+      closing = Remove(mState.OnEnd(
+        aUse.mNumber, closed ? exchange_end::Broken : aEnd, mClock()));
+    }
+    Close(closing);
+  }
+
+  /** An attempt of which no byte left. */
+  void NotSent(const attempt_ptr& aAttempt, const char* aReason)
+  {
+    attempt_end end = Blank(*aAttempt);
+    end.mResult.mOutcome = model::attempt_outcome::NotSent;
+    end.mResult.mReason = aReason;
+    aAttempt->mDone(end);
+  }
+
+  attempt_end Blank(const attempt& aAttempt) const
+  {
+    attempt_end end;
+    end.mResult.mAttempt = aAttempt.mRequest.mAttempt;
+    end.mResult.mShard = aAttempt.mRequest.mShard;
+    end.mResult.mLeaf = mLeaf.mId;
+    return end;
+  }
+
+  void Start(const attempt_ptr& aAttempt)
+  {
+    if (mClock() >= aAttempt->mDeadline) {
+      NotSent(aAttempt, kReasonExpired);
+      return;
+    }
+    const taken use = Take(aAttempt->mRequest.mIdempotent);
+    switch (use.mKind) {
+      case pick_kind::Full:
+        NotSent(aAttempt, kReasonNoConnection);
+        break;
+      case pick_kind::Prove:
+        Prove(aAttempt, use);
+        break;
+      case pick_kind::Use:
+      case pick_kind::Open:
+        Send(aAttempt, use);
+        break;
+    }
+  }
+
+  void Prove(const attempt_ptr& aAttempt, const taken& aUse)
+  {
+    const model::duration left = aAttempt->mDeadline - mClock();
+    aUse.mConnection->Exchange(net::http_request{ "GET", kStateTarget, "" },
+                               std::min<model::duration>(left, kProofTimeout),
+                               [self = shared_from_this(), aAttempt, aUse](
+                                 const net::exchange_result& aResult) {
+                                 self->OnProof(aAttempt, aUse, aResult);
+                               });
+  }
+
+  void OnProof(const attempt_ptr& aAttempt,
+               const taken& aUse,
+               const net::exchange_result& aResult)
+  {
+    if (!StateOf(aResult) || !aUse.mConnection->IsOpen()) {
+      const exchange_end end = EndOf(aResult);
+      const bool replied = end == exchange_end::Replied;
+      End(aUse, replied ? exchange_end::Broken : end);
+      // Each failed proof removes a connection, so this ends.
+      Start(aAttempt);
+      return;
+    }
+    std::vector<connection_ptr> closing;
+    {
+      const std::lock_guard lock(mMutex);
+      closing = Remove(mState.OnProved(aUse.mNumber, mClock()));
+    }
+    Close(closing);
+    Send(aAttempt, aUse);
+  }
+
+  void Send(const attempt_ptr& aAttempt, const taken& aUse)
+  {
+    const model::instant now = mClock();
+    const bool allowed = !aAttempt->mMaySend || aAttempt->mMaySend();
+    if (now >= aAttempt->mDeadline || !allowed) {
+      End(aUse, exchange_end::Unused);
+      NotSent(aAttempt, kReasonExpired);
+      return;
+    }
+    execute_request& request = aAttempt->mRequest;
+    const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - aAttempt->mStarted);
+    request.mRemaining =
+      std::max(std::chrono::milliseconds(0), request.mRemaining - spent);
+    aUse.mConnection->Exchange(EncodeExecute(request),
+                               aAttempt->mDeadline - now,
+                               [self = shared_from_this(), aAttempt, aUse](
+                                 const net::exchange_result& aResult) {
+                                 attempt_end end = self->Blank(*aAttempt);
+                                 const exchange_end how =
+                                   Conclude(aAttempt->mRequest, aResult, end);
+                                 self->End(aUse, how);
+                                 aAttempt->mDone(end);
+                               });
+  }
+
+  net::http_connector& mConnector;
+  const model::leaf mLeaf;
+  const clock mClock;
+  mutable std::mutex mMutex; ///< Rank: leaf link; nothing is locked inside.
+  link_state mState;
+  std::map<connection_number, connection_ptr> mConnections;
+};
+
+} // namespace
+
+std::shared_ptr<leaf_link>
+leaf_link::Create(net::http_connector& aConnector,
+                  const model::leaf& aLeaf,
+                  const link_settings& aSettings,
+                  clock aClock)
+{
+  return std::make_shared<connector_leaf_link>(
+    aConnector, aLeaf, aSettings, std::move(aClock));
+}
+
+} // namespace monsooncroft::link
--- /dev/null
+++ b/src/once/record.cpp
@@ -0,0 +1,35 @@
+/**
+ * @file record.cpp
+ * Ages of entries and permits.
+ */
+#include "once/record_event_type.h"
+#include "once/record_type.h"
+
+namespace monsooncroft::once {
+
+bool
+IsFresh(const record_settings& aSettings,
+        model::wall_instant aIssuedAt,
+        model::wall_instant aWall)
+{
+  const bool ahead = aIssuedAt > aWall + aSettings.mMaxAhead;
+  return !ahead && aWall < aIssuedAt + aSettings.mWindow / 2;
+}
+
+void
+Prune(record& aRecord,
+      const record_settings& aSettings,
+      model::wall_instant aWall)
+{
+  std::erase_if(aRecord, [&](const auto& aEntry) {
+    return aEntry.second.mIssuedAt + aSettings.mWindow <= aWall;
+  });
+}
+
+bool
+MaySend(const send_permit& aPermit, const clock_reading& aClock)
+{
+  return aClock.mNow < aPermit.mBefore && aClock.mWall < aPermit.mBeforeWall;
+}
+
+} // namespace monsooncroft::once
