--- /dev/null
+++ b/src/cluster/cluster_core_base.h
@@ -0,0 +1,139 @@
+/**
+ * @file cluster_core_base.h
+ * One instance's part in the cluster: members, rumours and manifests over one
+ * set of messages.
+ */
+#ifndef MONSOONCROFT_CLUSTER_CLUSTER_CORE_BASE_H
+#define MONSOONCROFT_CLUSTER_CLUSTER_CORE_BASE_H
+
+#include "cluster/cluster_core_type.h"
+#include "cluster/manifest_spread_base.h"
+#include "cluster/membership_base.h"
+#include "cluster/retransmit_queue_base.h"
+#include "cluster/rumour_table_base.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace monsooncroft::cluster {
+
+constexpr auto kMethodAntiEntropy = "anti_entropy";
+constexpr auto kMethodPullChunk = "pull_chunk";
+constexpr auto kMethodMemberSummary = "member_summary";
+
+/** Pure: every event returns the effects that the shell carries out. */
+class cluster_core
+{
+public:
+  /**
+   * @param aSelf This instance; its incarnation is its wall-clock start.
+   * @param aFormat Reads heads and hashes texts; outlives the core.
+   * @param aOptions Periods and limits.
+   * @param aSeed Seed of all random choices.
+   */
+  cluster_core(const member& aSelf,
+               const manifest_format& aFormat,
+               const cluster_options& aOptions,
+               std::uint64_t aSeed);
+
+  cluster_effects OnTick(const moment& aNow);
+  cluster_effects OnDatagram(const std::string& aBytes,
+                             const model::endpoint& aFrom,
+                             const moment& aNow);
+  cluster_effects OnInstanceList(const std::vector<listed_instance>& aList,
+                                 const moment& aNow);
+  /** The end of a call_peer; no result: it failed. */
+  cluster_effects OnReply(std::uint64_t aCall,
+                          const std::optional<std::string>& aResult,
+                          const moment& aNow);
+  cluster_effects OnHead(const head_answer& aAnswer,
+                         bool aWatch,
+                         const moment& aNow);
+  /** The end of a pull_text from the platform. */
+  cluster_effects OnText(const std::string& aHash,
+                         const std::optional<std::string>& aText,
+                         const moment& aNow);
+  cluster_effects OnAdopted(model::manifest_version aVersion,
+                            bool aValid,
+                            const moment& aNow);
+  cluster_effects Leave(const moment& aNow); ///< Told to others at once.
+  /** Spreads a fact found by this instance. */
+  cluster_effects Put(const rumour& aRumour, const moment& aNow);
+  /** Answers a peer's call. @throws std::exception on malformed params. */
+  std::string HandleCall(const std::string& aMethod,
+                         const std::string& aParams) const;
+
+  member_view_ptr View() const { return mMembership.Table().View(); }
+  const membership& Members() const { return mMembership; }
+  const rumour_table& Rumours() const { return mRumours; }
+  const manifest_spread& Manifests() const { return mManifests; }
+
+private:
+  struct call ///< A call to a peer under way.
+  {
+    std::string mMethod;
+    std::string mHash; ///< pull_chunk only.
+    model::endpoint mPeer;
+    model::instant mStart;
+  };
+
+  void Send(const packet& aPacket, cluster_effects& aOut);
+  void SendAll(const membership::packets& aPackets, cluster_effects& aOut);
+  void Call(const model::endpoint& aPeer,
+            const std::string& aMethod,
+            const std::string& aParams,
+            const std::string& aHash,
+            const moment& aNow,
+            cluster_effects& aOut);
+  void Carry(const manifest_spread::effects& aEffects,
+             const moment& aNow,
+             cluster_effects& aOut);
+  void Collect(const moment& aNow, cluster_effects& aOut); ///< After an event.
+  void Gossip(cluster_effects& aOut);
+  void SendDigests(const moment& aNow, cluster_effects& aOut);
+  void StartUp(const moment& aNow, cluster_effects& aOut);
+  void Learn(const rumour& aRumour, const moment& aNow, cluster_effects& aOut);
+  void TakeItems(const message& aMessage,
+                 const model::endpoint& aFrom,
+                 const moment& aNow,
+                 cluster_effects& aOut);
+  void CompareDigest(const message& aMessage,
+                     const model::endpoint& aFrom,
+                     const moment& aNow,
+                     cluster_effects& aOut);
+  void AntiEntropy(const model::endpoint& aPeer,
+                   const std::vector<model::data_centre_id>& aDataCentres,
+                   bool aEverything,
+                   const moment& aNow,
+                   cluster_effects& aOut);
+  void OnAntiEntropy(const std::string& aResult,
+                     const model::endpoint& aPeer,
+                     const moment& aNow,
+                     cluster_effects& aOut);
+  void ExpireCalls(const moment& aNow, cluster_effects& aOut);
+  digest_summary Summary() const;
+  spread_context Context(const moment& aNow);
+  int RetransmitLimit() const;
+  bool Chance(double aProbability);
+
+  cluster_options mOptions;
+  std::mt19937_64 mRandom;
+  membership mMembership;
+  rumour_table mRumours;
+  manifest_spread mManifests;
+  retransmit_queue mQueue;
+  std::map<std::uint64_t, call> mCalls;
+  std::uint64_t mNextCall = 0;
+  std::uint64_t mEpoch = 0; ///< Of the view last told to the shell.
+  std::optional<model::instant> mLastTick;
+  std::optional<model::instant> mNextGossip;
+  std::optional<model::instant> mNextDigest;
+  std::optional<model::instant> mLastPull; ///< Of the last anti-entropy call.
+  bool mJoined = false;                    ///< Peers were asked for everything.
+};
+
+} // namespace monsooncroft::cluster
+
+#endif
--- /dev/null
+++ b/src/cluster/message_codec_func.h
@@ -0,0 +1,35 @@
+/**
+ * @file message_codec_func.h
+ * Datagrams and their items as CBOR.
+ */
+#ifndef MONSOONCROFT_CLUSTER_MESSAGE_CODEC_FUNC_H
+#define MONSOONCROFT_CLUSTER_MESSAGE_CODEC_FUNC_H
+
+#include "cluster/message_type.h"
+#include "cluster/rumour_type.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <variant>
+
+namespace monsooncroft::cluster {
+
+using gossip_item = std::variant<member, rumour>;
+
+nlohmann::json
+ToJson(const gossip_item& aItem); ///< As a compact array.
+std::optional<gossip_item>
+FromJson(const nlohmann::json& aJson); ///< Nothing if malformed.
+
+std::string
+EncodeItem(const gossip_item& aItem);
+std::optional<gossip_item>
+DecodeItem(const std::string& aBytes);
+
+std::string
+EncodeMessage(const message& aMessage);
+std::optional<message>
+DecodeMessage(const std::string& aBytes); ///< Nothing if malformed.
+
+} // namespace monsooncroft::cluster
+
+#endif
