--- /dev/null
+++ b/src/entry/daemon.cpp
@@ -0,0 +1,320 @@
+/**
+ * @file daemon.cpp
+ * Wiring of an entry instance, and its graceful stop.
+ */
+#include "entry/daemon_base.h"
+
+#include "config/query_json_func.h"
+#include "config/settings_base.h"
+#include "entry/alarm_board_base.h"
+#include "entry/caller_handler_base.h"
+#include "entry/clock_func.h"
+#include "entry/cluster_watch_base.h"
+#include "entry/entry_error.h"
+#include "entry/leaf_table_base.h"
+#include "entry/list_watch_base.h"
+#include "entry/manifest_store_source_base.h"
+#include "entry/manifest_table_base.h"
+#include "entry/once_service_base.h"
+#include "entry/owner_service_base.h"
+#include "entry/peer_handler_base.h"
+#include "entry/query_desk_base.h"
+#include "entry/root_service_base.h"
+#include "entry/settings_map_func.h"
+#include "entry/snapshot_table_base.h"
+#include "entry/ticker_base.h"
+#include "entry/worker_pool_base.h"
+#include "net/http_connector_base.h"
+#include "net/http_pool_base.h"
+#include "net/http_server_base.h"
+#include "ops/log_base.h"
+#include "ops/metrics_base.h"
+#include "peer/cluster_node_base.h"
+#include "platform/platform_client_base.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <thread>
+
+namespace monsooncroft::entry {
+
+namespace {
+
+using config::setting;
+
+constexpr std::size_t kIdlePeerConnections = 64;
+constexpr std::size_t kIdlePlatformConnections = 4;
+constexpr unsigned kPlatformWorkers = 4;
+/** Longest query that another instance may hand on. */
+constexpr std::size_t kMaxForwardedBytes = 2UL * 1024 * 1024;
+constexpr std::chrono::milliseconds kTick{ 1000 };
+constexpr std::chrono::milliseconds kStopPoll{ 20 };
+/** In flight stays at none for this long before the end. */
+constexpr std::chrono::milliseconds kQuietTime{ 300 };
+
+class instance : public daemon
+{
+public:
+  explicit instance(const config::settings& aSettings);
+  ~instance() override { instance::End(); }
+
+  instance(const instance&) = delete;
+  instance& operator=(const instance&) = delete;
+  instance(instance&&) = delete;
+  instance& operator=(instance&&) = delete;
+
+  void Serve();
+  bool Stop() override;
+  void Hurry() override { mHurry = true; }
+
+private:
+  bool Ready() const;
+  std::string Status() const;
+  std::string Explain(const std::string& aBody);
+  std::string RunAsHome(const std::string& aBody);
+  void OnTick();
+  bool AwaitQuiet(model::instant aBound);
+  void End();
+
+  const config::settings mSettings;
+  const model::instance_id mId;
+  const model::data_centre_id mDataCentre;
+  const std::uint64_t mIncarnation;
+  ops::log mLog;
+  ops::metrics mMetrics;
+  alarm_board mAlarms;
+  std::unique_ptr<net::http_connector> mConnector;
+  std::unique_ptr<worker_pool> mWorkers;
+  net::http_pool mPeers;
+  net::http_pool mPlatformPool;
+  platform::platform_client mPlatform;
+  manifest_store_source mSource;
+  manifest_table mManifests;
+  leaf_table mLeaves;
+  snapshot_table mSnapshots;
+  owner_service mOwner;
+  root_service mRoot;
+  once_service mOnce;
+  query_desk mDesk;
+  cluster_watch mWatch;
+  list_watch mList;
+  std::unique_ptr<peer::cluster_node> mNode;
+  std::unique_ptr<caller_handler> mCallers;
+  std::unique_ptr<peer_handler> mPeerHandler;
+  std::unique_ptr<net::http_server> mCallerServer;
+  std::unique_ptr<net::http_server> mPeerServer;
+  std::unique_ptr<ticker> mTicker;
+  std::atomic<bool> mStopping{ false };
+  std::atomic<bool> mHurry{ false };
+};
+
+instance::instance(const config::settings& aSettings)
+  : mSettings(aSettings)
+  , mId(aSettings.Text(setting::InstanceId))
+  , mDataCentre(aSettings.Text(setting::InstanceDataCentre))
+  , mIncarnation(
+      static_cast<std::uint64_t>(WallNow().time_since_epoch().count()))
+  , mLog(mId.Value(), LogLevelOf(aSettings))
+  , mAlarms(mLog)
+  , mConnector(net::http_connector::Create(
+      static_cast<int>(aSettings.Integer(setting::IoThreads))))
+  , mWorkers(worker_pool::Create(kPlatformWorkers))
+  , mPeers(*mConnector, kIdlePeerConnections)
+  , mPlatformPool(*mConnector, kIdlePlatformConnections)
+  , mPlatform(mPlatformPool, PlatformOptionsOf(aSettings), Now)
+  , mSource(mPlatform)
+  , mManifests(
+      static_cast<std::size_t>(aSettings.Integer(setting::OwnershipReplicas)))
+  , mLeaves(*mConnector, GateOptionsOf(aSettings), LeafHedgeOf(aSettings))
+  , mOwner(*mConnector, mManifests, mLeaves, mId)
+  , mRoot({ *mConnector,
+            mManifests,
+            mMetrics,
+            { mPeers, mOwner, mSnapshots, mId },
+            mDataCentre },
+          RootHedgeOf(aSettings))
+  , mOnce({ mRoot,
+            mManifests,
+            mPeers,
+            { mPlatform, *mWorkers, *mConnector },
+            { mId, mIncarnation },
+            mDataCentre },
+          RecordSettingsOf(aSettings))
+  , mDesk({ mRoot, mOnce, mLog })
+  , mWatch({ mManifests, mLeaves, mRoot, mLog, mAlarms, mId, mDataCentre },
+           static_cast<int>(aSettings.Integer(setting::OwnershipReplicas)))
+  , mList({ mPlatform, mLeaves, mLog, mId, mDataCentre })
+{
+}
+
+void
+instance::Serve()
+{
+  peer::cluster_settings settings;
+  settings.mId = mId;
+  settings.mDataCentre = mDataCentre;
+  settings.mPeer = mSettings.Endpoint(setting::ListenPeer);
+  settings.mOptions = ClusterOptionsOf(mSettings);
+  mNode =
+    peer::cluster_node::Start(settings, { mPeers, mSource, mSource, mWatch });
+  mPeerHandler = std::make_unique<peer_handler>(peer_routes{
+    mOwner,
+    [this](const std::string& aBody) { return mNode->HandleRpc(aBody); },
+    [this](const std::string& aBody) { return RunAsHome(aBody); } });
+  mCallers = std::make_unique<caller_handler>(caller_routes{
+    mDesk,
+    [this] { return Ready(); },
+    [this] { return Status(); },
+    [this] { return mMetrics.Exposition(); },
+    [this](const std::string& aBody) { return Explain(aBody); },
+    static_cast<std::size_t>(mSettings.Integer(setting::QueryBodyLimit)) });
+  mPeerServer = net::http_server::Start(PeerServerOf(mSettings), *mPeerHandler);
+  mCallerServer = net::http_server::Start(CallerServerOf(mSettings), *mCallers);
+  mTicker = std::make_unique<ticker>(kTick, [this] { OnTick(); });
+  mLog.Write(
+    ops::log_level::Info,
+    "started",
+    { { "data_centre", mDataCentre.Value() },
+      { "caller", mSettings.Endpoint(setting::ListenCaller).ToString() },
+      { "peer", mSettings.Endpoint(setting::ListenPeer).ToString() } });
+}
+
+void
+instance::OnTick()
+{
+  mList.Poll(*mNode, Now());
+  mLeaves.Tick(mWatch.OwnedLeaves());
+  mRoot.RefreshSnapshots();
+}
+
+bool
+instance::Ready() const
+{
+  return !mStopping && mManifests.Owners() != nullptr;
+}
+
+std::string
+instance::Status() const
+{
+  const model::manifest_ptr manifest = mManifests.Current();
+  nlohmann::ordered_json out;
+  out["instance"] = mId.Value();
+  out["data_centre"] = mDataCentre.Value();
+  out["manifest"] = manifest ? manifest->Version() : 0;
+  out["ready"] = Ready();
+  out["stopping"] = mStopping.load();
+  out["alarms"] = mAlarms.Texts();
+  out["in_flight"] = mCallers->InFlight();
+  out["leaf_connections"] = mLeaves.Connections();
+  out["members"] = nlohmann::ordered_json::array();
+  if (const cluster::member_view_ptr view = mManifests.View()) {
+    for (const auto& [dataCentre, members] : view->Lists()) {
+      for (const cluster::member& member : *members) {
+        out["members"].push_back(
+          { { "instance", member.mId.Value() },
+            { "data_centre", dataCentre.Value() },
+            { "state", static_cast<int>(member.mState) } });
+      }
+    }
+  }
+  out["leaving"] = nlohmann::ordered_json::array();
+  for (const policy::drain_mark& mark : mLeaves.Marks()) {
+    out["leaving"].push_back(mark.mLeaf.Value());
+  }
+  out["metrics"] = nlohmann::ordered_json::parse(mMetrics.Summary());
+  return out.dump();
+}
+
+std::string
+instance::Explain(const std::string& aBody)
+{
+  const auto question = nlohmann::json::parse(aBody, nullptr, false);
+  const auto text = [&](const char* aField) {
+    const bool there = question.is_object() && question.contains(aField) &&
+                       question[aField].is_string();
+    return there ? question[aField].get<std::string>() : std::string();
+  };
+  return mRoot.Explain(model::service_id(text("service")),
+                       model::kind_id(text("kind")));
+}
+
+std::string
+instance::RunAsHome(const std::string& aBody)
+{
+  const model::instant arrived = Now();
+  const auto query = config::ParseQuery(aBody, kMaxForwardedBytes);
+  const auto contract = query ? mRoot.ContractOf(query.value()) : std::nullopt;
+  if (!contract || contract->mIdempotent || !query.value().mIssuedAt) {
+    return "";
+  }
+  return config::EmitAnswer(mOnce.RunHere(query.value(), *contract, arrived));
+}
+
+bool
+instance::Stop()
+{
+  const model::instant asked = Now();
+  const model::instant bound =
+    asked + mSettings.Milliseconds(setting::ShutdownBound);
+  mStopping = true;
+  mCallers->SetClosing(true);
+  mNode->Leave();
+  mLog.Write(ops::log_level::Info, "stopping", {});
+  const model::instant drained =
+    std::min(bound, asked + mSettings.Milliseconds(setting::ShutdownDrain));
+  while (Now() < drained && !mHurry) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  const bool quiet = AwaitQuiet(bound);
+  mLog.Write(quiet ? ops::log_level::Info : ops::log_level::Warning,
+             "stopped",
+             { { "quiet", static_cast<long>(quiet) } });
+  return quiet;
+}
+
+/** Waits until nothing came or was under way for a while. */
+bool
+instance::AwaitQuiet(model::instant aBound)
+{
+  model::instant busy = Now();
+  while (Now() < aBound && !mHurry) {
+    if (mCallers->InFlight() > 0 || mPeerHandler->InFlight() > 0) {
+      busy = Now();
+    }
+    if (Now() - busy >= kQuietTime) {
+      return true;
+    }
+    std::this_thread::sleep_for(kStopPoll);
+  }
+  return false;
+}
+
+void
+instance::End()
+{
+  mTicker.reset();
+  mCallerServer.reset();
+  mPeerServer.reset();
+  if (mNode) {
+    mNode->Stop();
+  }
+  mWorkers->Stop();
+  mConnector->Stop();
+}
+
+} // namespace
+
+std::unique_ptr<daemon>
+daemon::Start(const config::settings& aSettings)
+{
+  try {
+    auto running = std::make_unique<instance>(aSettings);
+    running->Serve();
+    return running;
+  } catch (const std::exception&) {
+    std::throw_with_nested(entry_error("the instance cannot start"));
+  }
+}
+
+} // namespace monsooncroft::entry
--- /dev/null
+++ b/src/entry/peer_handler.cpp
@@ -0,0 +1,104 @@
+/**
+ * @file peer_handler.cpp
+ * Routes of the peer address.
+ */
+#include "entry/peer_handler_base.h"
+
+#include "entry/in_flight_base.h"
+#include "entry/owner_service_base.h"
+#include "entry/relay_codec_func.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace monsooncroft::entry {
+
+namespace {
+
+net::http_response
+Bad(const char* aReason)
+{
+  net::http_response response;
+  response.mStatus = net::kHttpBadRequest;
+  response.mBody = std::string(R"({"reason":")") + aReason + R"("})";
+  return response;
+}
+
+net::http_response
+Ok(std::string aBody)
+{
+  net::http_response response;
+  response.mBody = std::move(aBody);
+  return response;
+}
+
+} // namespace
+
+peer_handler::peer_handler(peer_routes aRoutes)
+  : mRoutes(std::move(aRoutes))
+{
+}
+
+net::http_response
+peer_handler::Handle(const net::http_request& aRequest)
+{
+  const in_flight counted(mInFlight);
+  return Route(aRequest);
+}
+
+net::http_response
+peer_handler::Route(const net::http_request& aRequest)
+{
+  if (aRequest.mTarget == kRelayTarget) {
+    return Relay(aRequest.mBody);
+  }
+  if (aRequest.mTarget == kCancelTarget) {
+    return Cancel(aRequest.mBody);
+  }
+  if (aRequest.mTarget == kHeldTarget) {
+    return Held(aRequest.mBody);
+  }
+  if (aRequest.mTarget == kRpcTarget) {
+    return Ok(mRoutes.mRpc(aRequest.mBody));
+  }
+  if (aRequest.mTarget == kRunTarget) {
+    std::string answer = mRoutes.mRun(aRequest.mBody);
+    return answer.empty() ? Bad("query") : Ok(std::move(answer));
+  }
+  net::http_response response = Bad("target");
+  response.mStatus = net::kHttpNotFound;
+  return response;
+}
+
+net::http_response
+peer_handler::Relay(const std::string& aBody)
+{
+  const std::optional<relay_request> request = ParseRelayRequest(aBody);
+  if (!request) {
+    return Bad("relay");
+  }
+  return Ok(Emit(mRoutes.mOwner.RunAndWait(*request)));
+}
+
+net::http_response
+peer_handler::Held(const std::string& aBody)
+{
+  const auto question = nlohmann::json::parse(aBody, nullptr, false);
+  const bool valid = question.is_object() && question.contains("service") &&
+                     question["service"].is_string();
+  if (!valid) {
+    return Bad("service");
+  }
+  const model::service_id service(question["service"].get<std::string>());
+  return Ok(EmitHeld(mRoutes.mOwner.Held(service)));
+}
+
+net::http_response
+peer_handler::Cancel(const std::string& aBody)
+{
+  mRoutes.mOwner.Cancel(ParseCancel(aBody));
+  return Ok("{}");
+}
+
+} // namespace monsooncroft::entry
--- /dev/null
+++ b/src/entry/query_desk.cpp
@@ -0,0 +1,64 @@
+/**
+ * @file query_desk.cpp
+ * Where a query goes.
+ */
+#include "entry/query_desk_base.h"
+
+#include "config/query_json_func.h"
+#include "entry/caller_handler_base.h"
+#include "entry/clock_func.h"
+#include "entry/once_service_base.h"
+#include "entry/root_service_base.h"
+#include "ops/log_base.h"
+
+namespace monsooncroft::entry {
+
+query_desk::query_desk(const desk_parts& aParts)
+  : mParts(aParts)
+{
+}
+
+net::http_response
+query_desk::Answer(const model::query& aQuery)
+{
+  const model::instant arrived = Now();
+  if (const auto bad = mParts.mRoot.Check(aQuery)) {
+    net::http_response response;
+    response.mStatus = net::kHttpBadRequest;
+    response.mBody =
+      config::EmitBadQuery({ { "/" + bad->mField, "", bad->mReason } });
+    return response;
+  }
+  model::answer answer;
+  const std::optional<model::contract> contract =
+    mParts.mRoot.ContractOf(aQuery);
+  if (const auto limited = mParts.mRoot.Limit(aQuery)) {
+    answer = *limited;
+  } else if (contract && !contract->mIdempotent) {
+    answer = mParts.mOnce.Answer(aQuery, *contract, arrived);
+  } else {
+    answer = mParts.mRoot.Run(aQuery, { arrived, std::nullopt, false });
+  }
+  Log(aQuery, answer);
+  return ToResponse(answer);
+}
+
+void
+query_desk::Log(const model::query& aQuery, const model::answer& aAnswer) const
+{
+  const bool fine = aAnswer.mStatus == model::status::Complete;
+  mParts.mLog.Write(
+    fine ? ops::log_level::Debug : ops::log_level::Info,
+    "query_done",
+    { { "request_id", aQuery.mRequest.Value() },
+      { "tenant", aQuery.mTenant.Value() },
+      { "service", aQuery.mService.Value() },
+      { "kind", aQuery.mKind.Value() },
+      { "status", std::string(model::ToString(aAnswer.mStatus)) },
+      { "reason", aAnswer.mReason },
+      { "manifest", static_cast<long>(aAnswer.mManifest) },
+      { "snapshot", static_cast<long>(aAnswer.mSnapshot) },
+      { "coverage", aAnswer.mCoverage.Fraction() } });
+}
+
+} // namespace monsooncroft::entry
--- /dev/null
+++ b/src/entry/query_desk_base.h
@@ -0,0 +1,47 @@
+/**
+ * @file query_desk_base.h
+ * A checked query's way: refused, run here, or sent to its home instance.
+ */
+#ifndef MONSOONCROFT_ENTRY_QUERY_DESK_BASE_H
+#define MONSOONCROFT_ENTRY_QUERY_DESK_BASE_H
+
+#include "model/answer_type.h"
+#include "net/http_type.h"
+
+#include <string>
+
+namespace monsooncroft::ops {
+class log;
+}
+
+namespace monsooncroft::entry {
+
+class once_service;
+class root_service;
+
+/** What the desk uses; all outlives it. */
+struct desk_parts
+{
+  root_service& mRoot;
+  once_service& mOnce;
+  const ops::log& mLog;
+};
+
+/** Decides on which way a query is answered. Thread safe. */
+class query_desk
+{
+public:
+  explicit query_desk(const desk_parts& aParts);
+
+  /** Answers a caller's query; blocks its worker. */
+  net::http_response Answer(const model::query& aQuery);
+
+private:
+  void Log(const model::query& aQuery, const model::answer& aAnswer) const;
+
+  desk_parts mParts;
+};
+
+} // namespace monsooncroft::entry
+
+#endif
--- /dev/null
+++ b/src/entry/root_service.cpp
@@ -0,0 +1,314 @@
+/**
+ * @file root_service.cpp
+ * One query from its arrival to its answer.
+ */
+#include "entry/root_service_base.h"
+
+#include "entry/clock_func.h"
+#include "entry/fanout_driver_base.h"
+#include "entry/manifest_table_base.h"
+#include "entry/owner_service_base.h"
+#include "entry/snapshot_table_base.h"
+#include "ops/metrics_base.h"
+#include "policy/answer_func.h"
+
+#include <algorithm>
+#include <future>
+#include <utility>
+
+namespace monsooncroft::entry {
+
+namespace {
+
+/** Longest wait for the owners' word on index versions at a first query. */
+constexpr model::duration kFirstHeldWait{ 100000 };
+/** Time kept for merging and for the reply's way to the caller. */
+constexpr model::duration kAnswerMargin{ 3000 };
+/** A second run at another snapshot needs at least this. */
+constexpr model::duration kLeastReplanTime{ 5000 };
+
+} // namespace
+
+root_service::root_service(const root_parts& aParts,
+                           const hedge_options& aHedge)
+  : mParts(aParts)
+  , mHedge(aHedge)
+  , mPrefix(aParts.mLinks.mSelf.Value() + "." +
+            std::to_string(WallNow().time_since_epoch().count()) + ".r")
+{
+}
+
+std::optional<bad_query>
+root_service::Check(const model::query& aQuery) const
+{
+  const model::manifest_ptr manifest = mParts.mManifests.Current();
+  if (!manifest) {
+    return std::nullopt;
+  }
+  const model::service* service = manifest->FindService(aQuery.mService);
+  if (service == nullptr) {
+    return bad_query{ "service", "not declared" };
+  }
+  const model::contract* contract = service->FindContract(aQuery.mKind);
+  if (contract == nullptr) {
+    return bad_query{ "kind", "not declared" };
+  }
+  if (manifest->FindTenant(aQuery.mTenant) == nullptr) {
+    return bad_query{ "tenant", "not declared" };
+  }
+  if (!contract->mIdempotent && !aQuery.mIssuedAt) {
+    return bad_query{ "issued_at_ms", "required for this kind" };
+  }
+  return std::nullopt;
+}
+
+std::optional<model::contract>
+root_service::ContractOf(const model::query& aQuery) const
+{
+  const model::manifest_ptr manifest = mParts.mManifests.Current();
+  const model::service* service =
+    manifest ? manifest->FindService(aQuery.mService) : nullptr;
+  const model::contract* contract =
+    service == nullptr ? nullptr : service->FindContract(aQuery.mKind);
+  return contract == nullptr ? std::nullopt : std::optional(*contract);
+}
+
+std::optional<model::answer>
+root_service::Limit(const model::query& aQuery)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    if (mLimiter.TryTake(aQuery.mTenant, Now())) {
+      return std::nullopt;
+    }
+  }
+  const model::manifest_ptr manifest = mParts.mManifests.Current();
+  model::answer answer = policy::NotRunAnswer(
+    aQuery.mRequest,
+    manifest ? manifest->FindService(aQuery.mService) : nullptr,
+    "tenant_limit");
+  answer.mOverLimit = true;
+  answer.mManifest = manifest ? manifest->Version() : 0;
+  mParts.mMetrics.Count("tenant_limited");
+  return answer;
+}
+
+void
+root_service::OnMembers(int aLive)
+{
+  const std::lock_guard lock(mMutex);
+  mLimiter.SetInstances(std::max(1, aLive));
+}
+
+void
+root_service::OnManifest(const model::manifest& aManifest)
+{
+  const std::lock_guard lock(mMutex);
+  mLimiter.SetTenants(aManifest.Tenants());
+}
+
+bool
+root_service::Pin(const model::query& aQuery,
+                  const run_terms& aTerms,
+                  pinned& aOut) const
+{
+  aOut.mManifest = mParts.mManifests.Current();
+  aOut.mOwners = mParts.mManifests.Owners();
+  if (!aOut.mManifest || !aOut.mOwners) {
+    return false;
+  }
+  // Owners and manifest change together only under the table's lock.
+  aOut.mManifest = aOut.mOwners->Manifest();
+  aOut.mService = aOut.mManifest->FindService(aQuery.mService);
+  aOut.mContract = aOut.mService == nullptr
+                     ? nullptr
+                     : aOut.mService->FindContract(aQuery.mKind);
+  if (aOut.mContract == nullptr) {
+    return false;
+  }
+  const auto allowed =
+    std::min(aQuery.mDeadline.value_or(aOut.mContract->mDeadline),
+             aOut.mContract->mDeadline);
+  aOut.mDeadline = aTerms.mArrived + allowed - kAnswerMargin;
+  return true;
+}
+
+bool
+root_service::PinSnapshot(pinned& aPinned)
+{
+  const model::manifest_version manifest = aPinned.mManifest->Version();
+  auto version = mParts.mLinks.mSnapshots.Pick(*aPinned.mService, manifest);
+  if (!version) {
+    const model::duration left = aPinned.mDeadline - Now();
+    AskHeld(aPinned.mService->mId,
+            *aPinned.mOwners,
+            std::min(kFirstHeldWait, left / 2));
+    version = mParts.mLinks.mSnapshots.Pick(*aPinned.mService, manifest);
+  }
+  aPinned.mSnapshot = version.value_or(0);
+  return version.has_value();
+}
+
+model::answer
+root_service::Run(const model::query& aQuery, const run_terms& aTerms)
+{
+  pinned pin;
+  if (!Pin(aQuery, aTerms, pin)) {
+    return policy::NotRunAnswer(aQuery.mRequest, nullptr, "not_ready");
+  }
+  model::answer answer;
+  int leafAttempts = 0;
+  if (!PinSnapshot(pin)) {
+    answer = policy::NotRunAnswer(aQuery.mRequest, pin.mService, "no_snapshot");
+    answer.mManifest = pin.mManifest->Version();
+  } else {
+    run_end end = FanOut(aQuery, aTerms, pin);
+    leafAttempts = end.mLeafAttempts;
+    const auto next =
+      end.mCanReplan ? mParts.mLinks.mSnapshots.NextAfterNotHeld(*pin.mService,
+                                                                 pin.mSnapshot)
+                     : std::nullopt;
+    if (next && pin.mDeadline - Now() > kLeastReplanTime) {
+      mParts.mMetrics.Count("replans");
+      pin.mSnapshot = *next;
+      end = FanOut(aQuery, aTerms, pin);
+      leafAttempts += end.mLeafAttempts;
+    }
+    answer = policy::BuildAnswer(end.mPlan,
+                                 end.mReport,
+                                 *pin.mService,
+                                 *pin.mContract,
+                                 pin.mManifest->Version());
+  }
+  Record(aQuery, aTerms, answer, pin, leafAttempts);
+  return answer;
+}
+
+root_service::run_end
+root_service::FanOut(const model::query& aQuery,
+                     const run_terms& aTerms,
+                     const pinned& aPinned)
+{
+  run_end end;
+  end.mPlan = PlanOf(aQuery, aPinned);
+  relay_request pattern;
+  pattern.mRequest = aQuery.mRequest;
+  pattern.mService = aQuery.mService;
+  pattern.mKind = aQuery.mKind;
+  pattern.mTenant = aQuery.mTenant;
+  pattern.mManifest = aPinned.mManifest->Version();
+  pattern.mSnapshot = aPinned.mSnapshot;
+  pattern.mSendBefore = aTerms.mSendBefore;
+  pattern.mNoExtra = aTerms.mNoExtra;
+  pattern.mBody = aQuery.mBody;
+  const auto budget = Budget(aQuery);
+  const auto sender = std::make_shared<owner_sender>(mParts.mLinks,
+                                                     aPinned.mOwners->View(),
+                                                     std::move(pattern),
+                                                     aPinned.mDeadline,
+                                                     budget);
+  auto decisions = std::make_unique<policy::fanout>(
+    end.mPlan, *budget, *budget, static_cast<std::uint32_t>(mNumber));
+  if (aTerms.mNoExtra) {
+    decisions->ForbidExtra();
+  }
+  const auto driver = std::make_shared<fanout_driver>(
+    mParts.mTimers, sender, std::move(decisions));
+  auto promise = std::make_shared<std::promise<void>>();
+  // Late replies still reach the driver, which the budget must outlive.
+  driver->Start([promise, budget](const fanout_driver& /*aDriver*/) {
+    promise->set_value();
+  });
+  promise->get_future().wait();
+  end.mReport = driver->Fanout().Report();
+  end.mCanReplan = driver->Fanout().CanReplan();
+  end.mLeafAttempts = sender->LeafAttempts();
+  return end;
+}
+
+policy::fanout_plan
+root_service::PlanOf(const model::query& aQuery, const pinned& aPinned)
+{
+  const unsigned long number = mNumber.fetch_add(1);
+  policy::fanout_plan plan;
+  plan.mRequest = aQuery.mRequest;
+  plan.mIdempotent = aPinned.mContract->mIdempotent;
+  plan.mUrgency = aPinned.mContract->mUrgency;
+  plan.mDeadline = aPinned.mDeadline;
+  plan.mSnapshot = aPinned.mSnapshot;
+  plan.mAttemptPrefix = mPrefix + std::to_string(number) + ".";
+  for (const model::shard& shard : aPinned.mService->mShards) {
+    plan.mShards.push_back({ shard.mId, Candidates(shard, aPinned, number) });
+  }
+  return plan;
+}
+
+std::vector<policy::target_id>
+root_service::Candidates(const model::shard& aShard,
+                         const pinned& aPinned,
+                         std::size_t aTurn) const
+{
+  std::vector<owner_target> local;
+  std::vector<owner_target> remote;
+  for (const model::leaf_id& replica : aShard.mReplicas) {
+    const cluster::leaf_group* group = aPinned.mOwners->GroupOf(replica);
+    if (group == nullptr) {
+      continue;
+    }
+    auto& list = group->mDataCentre == mParts.mDataCentre ? local : remote;
+    const auto add = [&](const model::instance_id& aInstance) {
+      const owner_target target{ aInstance, group->mDataCentre };
+      if (std::find(list.begin(), list.end(), target) == list.end()) {
+        list.push_back(target);
+      }
+    };
+    for (const model::instance_id& owner : group->mOwners) {
+      add(owner);
+    }
+    if (group->mOwners.empty()) {
+      add(mParts.mLinks.mSelf);
+    }
+  }
+  // Other data centres take turns, so that none gets all the overflow.
+  if (!remote.empty()) {
+    const auto turn = static_cast<std::ptrdiff_t>(aTurn % remote.size());
+    std::rotate(remote.begin(), remote.begin() + turn, remote.end());
+  }
+  std::vector<policy::target_id> targets;
+  for (const auto* list : { &local, &remote }) {
+    for (const owner_target& target : *list) {
+      targets.push_back(target.ToTarget());
+    }
+  }
+  return targets;
+}
+
+std::shared_ptr<shared_budget>
+root_service::Budget(const model::query& aQuery)
+{
+  const std::lock_guard lock(mMutex);
+  auto& budget = mBudgets[{ aQuery.mService, aQuery.mKind }];
+  if (!budget) {
+    budget = std::make_shared<shared_budget>(mHedge);
+  }
+  return budget;
+}
+
+void
+root_service::Record(const model::query& aQuery,
+                     const run_terms& aTerms,
+                     const model::answer& aAnswer,
+                     const pinned& aPinned,
+                     int aLeafAttempts)
+{
+  ops::query_figures figures;
+  figures.mLatency = Now() - aTerms.mArrived;
+  figures.mCoverage = aAnswer.mCoverage.Fraction();
+  figures.mAttempts = aLeafAttempts;
+  figures.mLeastAttempts = static_cast<int>(aPinned.mService->mShards.size());
+  figures.mStatus = model::ToString(aAnswer.mStatus);
+  mParts.mMetrics.RecordQuery({ aQuery.mService, aQuery.mKind, aQuery.mTenant },
+                              figures);
+}
+
+} // namespace monsooncroft::entry
--- /dev/null
+++ b/src/entry/shared_budget_base.h
@@ -0,0 +1,46 @@
+/**
+ * @file shared_budget_base.h
+ * Hedging state that many fan-outs share.
+ */
+#ifndef MONSOONCROFT_ENTRY_SHARED_BUDGET_BASE_H
+#define MONSOONCROFT_ENTRY_SHARED_BUDGET_BASE_H
+
+#include "entry/ranked_mutex_base.h"
+#include "policy/hedge_budget_base.h"
+#include "policy/latency_tracker_base.h"
+
+namespace monsooncroft::entry {
+
+/** How hedges are timed. */
+struct hedge_options
+{
+  double mFraction = 0.05;        ///< Extra attempts over first attempts.
+  double mQuantile = 0.95;        ///< Latency after which one is sent.
+  model::duration mFloor{ 2000 }; ///< Least delay.
+  model::duration mFixed{ 0 };    ///< Always this delay, if not 0.
+};
+
+/** A budget and a tracked delay, both thread safe. */
+class shared_budget
+  : public policy::attempt_budget
+  , public policy::hedge_policy
+{
+public:
+  explicit shared_budget(const hedge_options& aOptions);
+
+  void OnSend() override;
+  bool TryTake() override;
+  std::optional<model::duration> HedgeDelay() const override;
+  void OnLatency(model::duration aLatency,
+                 model::instant aNow); ///< One attempt's.
+
+private:
+  hedge_options mOptions;
+  mutable ranked_mutex mMutex{ lock_rank::Innermost };
+  policy::hedge_budget mBudget;
+  policy::latency_tracker mTracker;
+};
+
+} // namespace monsooncroft::entry
+
+#endif
