--- a/src/once/record_keeper.cpp
+++ b/src/once/record_keeper.cpp
@@ -4,13 +4,42 @@
  */
 #include "once/record_keeper_base.h"
 
-#include "once/record_codec_func.h"
-
 #include <algorithm>
-#include <sstream>
 
 namespace monsooncroft::once {
 
+namespace {
+
+void
+AppendNumber(std::string& aText, std::int64_t aNumber)
+{
+  aText += std::to_string(aNumber);
+  aText += ' ';
+}
+
+void
+AppendTimed(std::string& aText,
+            const request_hash& aRequest,
+            model::wall_instant aIssuedAt)
+{
+  aText += ToHex(aRequest);
+  aText += '@';
+  AppendNumber(aText, aIssuedAt.time_since_epoch().count());
+}
+
+void
+AppendRecord(std::string& aText, const record& aRecord)
+{
+  for (const auto& [hash, entry] : aRecord) {
+    AppendTimed(aText, hash, entry.mIssuedAt);
+    aText += entry.mOwner.mInstance.Value();
+    aText += '#';
+    AppendNumber(aText, static_cast<std::int64_t>(entry.mOwner.mNumber));
+  }
+}
+
+} // namespace
+
 std::optional<verdict>
 record_keeper::Settle(const offer& aOffer, const clock_reading& aClock) const
 {
@@ -28,10 +57,16 @@
         out.mOwner = found->second.mOwner;
         return out;
       }
-      // The only permission to run it is here and unused: a refusal is proved.
-      out.mKind = refuse ? verdict_kind::NotRun : verdict_kind::Dispatch;
-      out.mReason = refuse ? refusal : "";
-      return refuse ? out : Granted(aOffer, aClock);
+      if (!refuse) {
+        return Granted(aOffer, aClock);
+      }
+      // The only permission to run it is here and unused: proved, as long as
+      // its use would be remembered.
+      const bool old =
+        found->second.mIssuedAt + mSettings.mWindow <= aClock.mWall;
+      out.mKind = old ? verdict_kind::Unproven : verdict_kind::NotRun;
+      out.mReason = refusal;
+      return out;
     }
   }
   if (!refuse) {
@@ -72,24 +107,28 @@
 std::string
 record_keeper::Describe() const
 {
-  std::ostringstream out;
-  out << "call=" << static_cast<int>(mCall) << " pending=";
+  std::string out = "call=" + std::to_string(static_cast<int>(mCall));
+  out += " pending=";
   for (const auto& [hash, waiting] : mPending) {
-    out << ToHex(hash) << '@' << waiting.mIssuedAt.time_since_epoch().count()
-        << '<' << waiting.mGiveUpAt.time_since_epoch().count() << ' ';
+    AppendTimed(out, hash, waiting.mIssuedAt);
+    AppendNumber(out, waiting.mGiveUpAt.time_since_epoch().count());
   }
-  out << "dispatched=";
+  out += " dispatched=";
   for (const auto& [hash, issued] : mDispatched) {
-    out << ToHex(hash) << '@' << issued.time_since_epoch().count() << ' ';
+    AppendTimed(out, hash, issued);
   }
   if (mKnown) {
-    out << "known=" << mKnown->mRevision << ' ' << Encode(mKnown->mRecord);
+    out += " known=";
+    AppendNumber(out, static_cast<std::int64_t>(mKnown->mRevision));
+    AppendRecord(out, mKnown->mRecord);
   }
-  out << " writing=" << Encode(mWriting);
+  out += " writing=";
+  AppendRecord(out, mWriting);
   if (mWriteAllowedAt) {
-    out << " next=" << mWriteAllowedAt->time_since_epoch().count();
+    out += " next=";
+    AppendNumber(out, mWriteAllowedAt->time_since_epoch().count());
   }
-  return out.str();
+  return out;
 }
 
 } // namespace monsooncroft::once
--- a/src/once/record_keeper_cmd.cpp
+++ b/src/once/record_keeper_cmd.cpp
@@ -175,9 +175,10 @@
 void
 record_keeper::ForgetOld(model::wall_instant aWall)
 {
-  // An entry that may be pruned is past the age at which it could run again.
+  // Kept for longer than the entries, so that a clock that steps back a little
+  // does not make a used permission look unused.
   std::erase_if(mDispatched, [&](const auto& aEntry) {
-    return aEntry.second + mSettings.mWindow <= aWall;
+    return aEntry.second + 2 * mSettings.mWindow <= aWall;
   });
 }
 
--- /dev/null
+++ b/test/once/record_test.cpp
@@ -0,0 +1,173 @@
+/**
+ * @file record_test.cpp
+ * The record's codec, its bounds, group commit, and the answer memory.
+ */
+#include "once/answer_memory_base.h"
+#include "once/home_func.h"
+#include "once/record_codec_func.h"
+#include "once/record_keeper_base.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace monsooncroft::once {
+namespace {
+
+using namespace std::chrono_literals;
+
+const incarnation kSelf{ model::instance_id("a"), 7 };
+
+clock_reading
+At(std::chrono::milliseconds aTime)
+{
+  return { model::instant(aTime), model::wall_instant(aTime) };
+}
+
+offer
+Offer(std::uint64_t aNumber)
+{
+  return { { aNumber, aNumber }, {}, model::instant::max() };
+}
+
+RC_GTEST_PROP(record,
+              codec_keeps_every_entry_within_its_bound,
+              (const std::vector<std::uint64_t>& aHashes, std::string aName))
+{
+  record value;
+  for (const std::uint64_t hash : aHashes) {
+    // Names come from settings; the codec only promises valid UTF-8 back.
+    std::erase_if(aName, [](char aLetter) { return aLetter < ' '; });
+    value[{ hash, ~hash }] = { model::wall_instant(
+                                 std::chrono::milliseconds(hash >> 20U)),
+                               { model::instance_id(aName), hash } };
+  }
+  const std::string text = Encode(value);
+  RC_ASSERT(Decode(text) == value);
+  RC_ASSERT(text.size() <= EncodedBound(value));
+}
+
+TEST(record, text_that_is_no_record_is_not_overwritten)
+{
+  for (const char* text : { "{}",
+                            "nonsense",
+                            "[]",
+                            R"({"v":2,"o":[],"e":[]})",
+                            R"({"v":1,"o":[],"e":[["12",0,0]]})" }) {
+    EXPECT_FALSE(Decode(text)) << text;
+    record_keeper keeper({}, kSelf);
+    keeper.Offer(Offer(1), At(0ms));
+    const auto effects = keeper.OnRead({ true, 3, text }, At(1ms));
+    EXPECT_FALSE(effects.mCas);
+    ASSERT_EQ(effects.mVerdicts.size(), 1U);
+    EXPECT_STREQ(effects.mVerdicts[0].mReason, kReasonRecordUnreadable);
+  }
+}
+
+TEST(record, requests_that_come_during_a_write_share_the_next_one)
+{
+  record_keeper keeper({}, kSelf);
+  keeper.Offer(Offer(0), At(0ms));
+  const auto first = keeper.OnRead({ true, 0, "" }, At(1ms));
+  ASSERT_TRUE(first.mCas);
+  for (std::uint64_t number = 1; number <= 5; ++number) {
+    EXPECT_FALSE(keeper.Offer(Offer(number), At(2ms)).mCas);
+  }
+  const auto stored = keeper.OnCas({ cas_outcome::Stored, 1 }, At(3ms));
+  EXPECT_EQ(stored.mVerdicts.size(), 1U);
+  EXPECT_FALSE(stored.mCas) << "faster than the write interval";
+  EXPECT_EQ(stored.mWakeAt, model::instant(101ms));
+  const auto second = keeper.OnTimer(At(101ms));
+  ASSERT_TRUE(second.mCas);
+  EXPECT_EQ(second.mCas->mExpect, 1U);
+  EXPECT_EQ(Decode(second.mCas->mValue)->size(), 6U);
+}
+
+TEST(record, full_bucket_refuses_the_rest)
+{
+  record_settings settings;
+  settings.mMaxBytes = 300;
+  record_keeper keeper(settings, kSelf);
+  keeper.Offer(Offer(0), At(0ms));
+  for (std::uint64_t number = 1; number < 10; ++number) {
+    keeper.Offer(Offer(number), At(0ms));
+  }
+  const auto effects = keeper.OnRead({ true, 0, "" }, At(1ms));
+  ASSERT_TRUE(effects.mCas);
+  EXPECT_LE(effects.mCas->mValue.size(), settings.mMaxBytes);
+  const auto recorded = Decode(effects.mCas->mValue)->size();
+  EXPECT_GT(recorded, 0U);
+  EXPECT_EQ(effects.mVerdicts.size(), 10 - recorded);
+  EXPECT_STREQ(effects.mVerdicts[0].mReason, kReasonRecordFull);
+}
+
+TEST(record, identity_leaves_out_the_body_and_joins_no_fields)
+{
+  model::query one;
+  one.mService = model::service_id("ab");
+  one.mTenant = model::tenant_id("c");
+  model::query other = one;
+  other.mBody = "1";
+  EXPECT_EQ(HashRequest(one), HashRequest(other));
+  EXPECT_NE(HashContent(one), HashContent(other));
+  other.mService = model::service_id("a");
+  other.mTenant = model::tenant_id("bc");
+  EXPECT_NE(HashRequest(one), HashRequest(other));
+}
+
+TEST(record, home_moves_only_with_its_instance)
+{
+  const std::vector<model::instance_id> all = { model::instance_id("a"),
+                                                model::instance_id("b"),
+                                                model::instance_id("c") };
+  const std::vector<model::instance_id> fewer = { all[2], all[0] };
+  int homes = 0;
+  for (bucket_index bucket = 0; bucket < 64; ++bucket) {
+    const auto home = *HomeOf(KeyOf(bucket), all);
+    homes += home == all[1] ? 1 : 0;
+    if (home != all[1]) {
+      EXPECT_EQ(*HomeOf(KeyOf(bucket), fewer), home);
+    }
+  }
+  EXPECT_GT(homes, 8);
+  EXPECT_EQ(HomeOf("once/0", {}), nullptr);
+}
+
+TEST(answer_memory, later_sends_join_and_then_get_the_stored_answer)
+{
+  answer_memory memory({});
+  const model::instant now;
+  EXPECT_EQ(memory.Arrive({ 1, 1 }, { 5, 5 }, now).mKind, arrival::First);
+  EXPECT_EQ(memory.Arrive({ 1, 1 }, { 5, 5 }, now).mKind, arrival::Running);
+  EXPECT_EQ(memory.Arrive({ 1, 1 }, { 6, 6 }, now).mKind, arrival::Reused);
+  model::answer answer;
+  answer.mStatus = model::status::Complete;
+  memory.Finish({ 1, 1 }, answer, now);
+  const auto stored = memory.Arrive({ 1, 1 }, { 5, 5 }, now);
+  EXPECT_EQ(stored.mKind, arrival::Stored);
+  EXPECT_EQ(stored.mAnswer, answer);
+  EXPECT_FALSE(memory.Find({ 1, 1 }, { 5, 5 }, now + 1h));
+  EXPECT_EQ(memory.Bytes(), 0U);
+}
+
+TEST(answer_memory, not_run_is_forgotten_and_bounds_hold)
+{
+  answer_memory_settings settings;
+  settings.mMaxRunning = 2;
+  settings.mMaxFinished = 1;
+  answer_memory memory(settings);
+  const model::instant now;
+  memory.Arrive({ 1, 1 }, {}, now);
+  memory.Arrive({ 2, 2 }, {}, now);
+  EXPECT_EQ(memory.Arrive({ 3, 3 }, {}, now).mKind, arrival::Full);
+  memory.Finish({ 1, 1 }, model::answer(), now);
+  EXPECT_EQ(memory.Arrive({ 1, 1 }, {}, now).mKind, arrival::First);
+  model::answer ran;
+  ran.mStatus = model::status::Unknown;
+  memory.Finish({ 1, 1 }, ran, now);
+  memory.Finish({ 2, 2 }, ran, now);
+  EXPECT_EQ(memory.Finished(), 1U);
+  EXPECT_FALSE(memory.Find({ 1, 1 }, {}, now));
+}
+
+} // namespace
+} // namespace monsooncroft::once
