Platform stand-in: several addresses, each of which can be cut off; stricter cancel test

Cause: a data centre that is cut off from the platform could not be told from an outage of the platform. The test of cancelled queued work ended before the slot was free, so it passed even when the work stayed in the queue.

Weighed: refusing clients by their address was ruled out, as on loopback all have the same. With one address for each data centre the cut is exact.

Before and after: with the erasure from the queue taken out the old test passed; the new one frees the slot and runs a later request before it counts.

--- a/standin/platform_control.cpp
+++ b/standin/platform_control.cpp
@@ -4,8 +4,11 @@
  */
 #include "standin/event_loop.h"
 #include "standin/json_reply.h"
+#include "standin/platform_entrance.h"
 #include "standin/platform_service.h"
 
+#include <algorithm>
+
 namespace monsooncroft::standin {
 
 namespace {
@@ -28,6 +31,12 @@
 
 } // namespace
 
+void
+platform_service::AddEntrance(platform_entrance& aEntrance)
+{
+  mEntrances.push_back(&aEntrance);
+}
+
 void
 platform_service::HandleControl(const net::http_request& aRequest,
                                 const reply_callback& aReply)
@@ -64,6 +73,9 @@
     mFault.mDown = ParseOutage(aBody["down"]);
     FailWatchers();
   }
+  if (aBody.contains("cut")) {
+    SetCut(aBody["cut"]);
+  }
   if (aBody.contains("slow_ms")) {
     mFault.mSlow = milliseconds(aBody["slow_ms"].get<std::int64_t>());
   }
@@ -79,6 +91,16 @@
   mFault.mReadsPerSecond = aBody.value("reads_per_s", mFault.mReadsPerSecond);
 }
 
+void
+platform_service::SetCut(const json& aAddresses)
+{
+  const std::vector<std::string> addresses = aAddresses;
+  for (platform_entrance* entrance : mEntrances) {
+    const auto found = std::ranges::find(addresses, entrance->Address());
+    entrance->SetCut(found != addresses.end());
+  }
+}
+
 void
 platform_service::FailWatchers()
 {
--- a/standin/platform_main.cpp
+++ b/standin/platform_main.cpp
@@ -3,7 +3,7 @@
  * The stand-in for the platform's key-value service and instance list.
  */
 #include "standin/event_loop.h"
-#include "standin/http_listener.h"
+#include "standin/platform_entrance.h"
 #include "standin/platform_service.h"
 
 #include <CLI/CLI.hpp>
@@ -26,19 +26,24 @@
 }
 
 int
-RunPlatform(const std::string& aListen, const std::string& aInstances)
+RunPlatform(const std::vector<std::string>& aListen,
+            const std::string& aInstances)
 {
-  const auto address = model::endpoint::Parse(aListen);
-  if (!address) {
-    std::cerr << "--listen: no address: " << aListen << '\n';
-    return EXIT_FAILURE;
-  }
   const auto loop = event_loop::Create();
   const auto queue = loop->NewQueue();
   platform_service service(*queue, LoadInstances(aInstances));
-  const auto listener =
-    http_listener::Create(queue, { .mAddress = *address }, service);
-  listener->Open();
+  std::vector<std::unique_ptr<platform_entrance>> entrances;
+  for (const std::string& text : aListen) {
+    const auto address = model::endpoint::Parse(text);
+    if (!address) {
+      std::cerr << "--listen: no address: " << text << '\n';
+      return EXIT_FAILURE;
+    }
+    entrances.push_back(
+      std::make_unique<platform_entrance>(queue, *address, service));
+    entrances.back()->Open();
+    service.AddEntrance(*entrances.back());
+  }
   service.KeepExpiring();
   loop->Run(1);
   return EXIT_SUCCESS;
@@ -51,9 +56,9 @@
 main(int aCount, char** aArguments)
 {
   CLI::App app("Stand-in for the platform's key-value service");
-  std::string listen;
+  std::vector<std::string> listen;
   std::string instances;
-  app.add_option("--listen", listen, "Address, ip:port")->required();
+  app.add_option("--listen", listen, "Addresses, ip:port")->required();
   app.add_option("--instances", instances, "JSON file, the instance list");
   CLI11_PARSE(app, aCount, aArguments);
   try {
--- a/standin/platform_service.h
+++ b/standin/platform_service.h
@@ -15,9 +15,11 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace monsooncroft::standin {
 
+class platform_entrance;
 class serial_queue;
 
 /** How calls fail without being carried out. */
@@ -55,6 +57,9 @@
   void Handle(const net::http_request& aRequest,
               reply_callback aReply) override;
 
+  /** Lets SetFault cut @p aEntrance off; it outlives the last call. */
+  void AddEntrance(platform_entrance& aEntrance);
+
   /** Ends leases that have run out and does so again, for good. */
   void KeepExpiring();
 
@@ -85,11 +90,13 @@
                      const reply_callback& aReply);
   void SetInstances(const nlohmann::json& aBody);
   void SetFault(const nlohmann::json& aBody);
+  void SetCut(const nlohmann::json& aAddresses);
   void FailWatchers();
   nlohmann::json Stats() const;
 
   serial_queue& mQueue;
   nlohmann::json mInstances;
+  std::vector<platform_entrance*> mEntrances;
   kv_store mStore;
   platform_fault mFault;
   std::map<std::string, std::list<watcher>> mWatchers; ///< By key.
--- a/test/standin/backend_test.cpp
+++ b/test/standin/backend_test.cpp
@@ -165,6 +165,8 @@
   SendQueued(mOther, Attempt("2"));
   mThird.Post("/v1/cancel", { { "attempt_id", "2" } });
   EXPECT_EQ(mOther.ReadReply().mBody["outcome"], "refused");
+  mThird.Post("/v1/cancel", { { "attempt_id", "long" } });
+  EXPECT_TRUE(mThird.Post("/v1/execute", Attempt("3")).Ok());
   EXPECT_EQ(Executions("r-2"), 0);
   EXPECT_EQ(Stats()["cancelled_queued"], 1);
 }
--- a/test/standin/platform_test.cpp
+++ b/test/standin/platform_test.cpp
@@ -19,6 +19,8 @@
 using test_support::process;
 
 const model::endpoint kPlatform{ "127.0.0.1", 21000 };
+const model::endpoint kSecondAddress{ "127.0.0.1", 21001 };
+constexpr std::chrono::milliseconds kSilence{ 200 };
 constexpr std::chrono::seconds kPatience{ 10 };
 constexpr int kLongWaitMs = 5000;
 
@@ -42,7 +44,10 @@
   json Get() { return mProbe.Post("/v1/kv/get", { { "key", "k" } }).mBody; }
 
   process mProcess = process::Start(MC_BIN_DIR "/standin_platform",
-                                    { "--listen", kPlatform.ToString() });
+                                    { "--listen",
+                                      kPlatform.ToString(),
+                                      "--listen",
+                                      kSecondAddress.ToString() });
   http_probe mProbe{ kPlatform };
   http_probe mOther{ kPlatform };
 };
@@ -141,6 +146,20 @@
   EXPECT_EQ(Cas(1, "a").mStatus, 429);
 }
 
+TEST_F(platform, an_address_can_be_cut_off_alone)
+{
+  http_probe second(kSecondAddress);
+  EXPECT_TRUE(second.Get("/v1/instances").Ok());
+  Fault({ { "cut", { kSecondAddress.ToString() } } });
+  EXPECT_EQ(second.Call("GET", "/v1/instances", {}, kSilence).mEnd,
+            probe_end::Timeout);
+  EXPECT_EQ(second.Call("GET", "/v1/instances", {}, kSilence).mEnd,
+            probe_end::Timeout);
+  EXPECT_EQ(Get()["found"], false);
+  Fault({ { "cut", json::array() } });
+  EXPECT_TRUE(second.Get("/v1/instances").Ok());
+}
+
 TEST_F(platform, shows_the_instance_list)
 {
   const json list = { { { "id", "e1" }, { "role", "entry" } } };
