--- a/src/entry/cluster_watch.cpp
+++ b/src/entry/cluster_watch.cpp
@@ -66,8 +66,8 @@
 
 } // namespace
 
-cluster_watch::cluster_watch(const watch_parts& aParts, int aOwnersPerGroup)
-  : mParts(aParts)
+cluster_watch::cluster_watch(watch_parts aParts, int aOwnersPerGroup)
+  : mParts(std::move(aParts))
   , mOwnersPerGroup(aOwnersPerGroup)
 {
 }
--- a/src/entry/cluster_watch_base.h
+++ b/src/entry/cluster_watch_base.h
@@ -39,7 +39,7 @@
 {
 public:
   /** @param aOwnersPerGroup Owners of each group; 0: every instance. */
-  cluster_watch(const watch_parts& aParts, int aOwnersPerGroup);
+  cluster_watch(watch_parts aParts, int aOwnersPerGroup);
 
   bool OnManifest(const cluster::manifest_head& aHead,
                   const std::vector<cluster::chunk>& aChunks) override;
--- a/src/entry/list_watch.cpp
+++ b/src/entry/list_watch.cpp
@@ -13,6 +13,7 @@
 #include "platform/instance_list_base.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace monsooncroft::entry {
 
@@ -39,8 +40,8 @@
 
 } // namespace
 
-list_watch::list_watch(const list_parts& aParts)
-  : mParts(aParts)
+list_watch::list_watch(list_parts aParts)
+  : mParts(std::move(aParts))
 {
 }
 
--- a/src/entry/list_watch_base.h
+++ b/src/entry/list_watch_base.h
@@ -46,7 +46,7 @@
 class list_watch
 {
 public:
-  explicit list_watch(const list_parts& aParts);
+  explicit list_watch(list_parts aParts);
 
   /** Reads the list if it is time to, and tells this instance's own marks. */
   void Poll(peer::cluster_node& aNode, model::instant aNow);
--- a/src/entry/once_service.cpp
+++ b/src/entry/once_service.cpp
@@ -145,7 +145,7 @@
     case once::arrival::Full:
       return Unknown(aQuery, "busy");
   }
-  const model::answer answer = RunFirst(aQuery, aContract, aArrived);
+  model::answer answer = RunFirst(aQuery, aContract, aArrived);
   {
     const std::lock_guard lock(mMutex);
     mMemory.Finish(request, answer, Now());
@@ -181,7 +181,7 @@
   if (verdict.mKind != once::verdict_kind::Dispatch) {
     return AnswerOf(aQuery, verdict);
   }
-  const model::answer answer = Dispatch(aQuery, verdict.mPermit, aArrived);
+  model::answer answer = Dispatch(aQuery, verdict.mPermit, aArrived);
   if (answer.mStatus == model::status::NotRun) {
     Bucket(once::HashRequest(aQuery))->Release(once::HashRequest(aQuery));
   }
--- a/src/entry/owner_sender.cpp
+++ b/src/entry/owner_sender.cpp
@@ -48,12 +48,12 @@
            model::data_centre_id(text.substr(separator + 1)) };
 }
 
-owner_sender::owner_sender(const owner_links& aLinks,
+owner_sender::owner_sender(owner_links aLinks,
                            cluster::member_view_ptr aView,
                            relay_request aPattern,
                            model::instant aDeadline,
                            std::shared_ptr<shared_budget> aBudget)
-  : mLinks(aLinks)
+  : mLinks(std::move(aLinks))
   , mView(std::move(aView))
   , mPattern(std::move(aPattern))
   , mDeadline(aDeadline)
--- a/src/entry/owner_sender_base.h
+++ b/src/entry/owner_sender_base.h
@@ -56,7 +56,7 @@
    * @param aDeadline When the root needs the replies.
    * @param aBudget Learns latencies.
    */
-  owner_sender(const owner_links& aLinks,
+  owner_sender(owner_links aLinks,
                cluster::member_view_ptr aView,
                relay_request aPattern,
                model::instant aDeadline,
--- a/src/entry/owner_service.cpp
+++ b/src/entry/owner_service.cpp
@@ -42,7 +42,7 @@
 owner_service::owner_service(net::http_connector& aTimers,
                              manifest_table& aManifests,
                              leaf_table& aLeaves,
-                             model::instance_id aSelf)
+                             const model::instance_id& aSelf)
   : mTimers(aTimers)
   , mManifests(aManifests)
   , mLeaves(aLeaves)
--- a/src/entry/owner_service_base.h
+++ b/src/entry/owner_service_base.h
@@ -37,7 +37,7 @@
   owner_service(net::http_connector& aTimers,
                 manifest_table& aManifests,
                 leaf_table& aLeaves,
-                model::instance_id aSelf);
+                const model::instance_id& aSelf);
 
   /** Runs the shards; @p aDone is called once, before the time runs out. */
   void Run(const relay_request& aRequest, callback aDone);
