Cluster: SWIM membership, rumours, ownership and manifest spread as pure state machines

Every event returns effects; time and seeds are arguments. Members of a data centre probe each other; members of other data centres are judged by their own data centre and their states arrive as claims, bridged by randomly chosen instances rather than by fixed contacts, so that no role has to fail over. A head is told on only once it is in force, so that who tells it holds it.

--- a/src/cluster/cluster_core_base.h
+++ b/src/cluster/cluster_core_base.h
@@ -81,26 +81,29 @@
 
   void Send(const packet& aPacket, cluster_effects& aOut);
   void SendAll(const membership::packets& aPackets, cluster_effects& aOut);
-  void Call(const model::endpoint& aPeer,
-            const std::string& aMethod,
+  void Call(const call& aCall,
             const std::string& aParams,
-            const std::string& aHash,
-            const moment& aNow,
             cluster_effects& aOut);
+  void CallPull(const pull_text& aPull,
+                const moment& aNow,
+                cluster_effects& aOut);
+  void ExpireCalls(const moment& aNow, cluster_effects& aOut);
   void Carry(const manifest_spread::effects& aEffects,
              const moment& aNow,
              cluster_effects& aOut);
-  void Collect(const moment& aNow, cluster_effects& aOut); ///< After an event.
+  void Announce(const moment& aNow, cluster_effects& aOut);
+  void Collect(cluster_effects& aOut); ///< Changes of members, after an event.
   void Gossip(cluster_effects& aOut);
-  void SendDigests(const moment& aNow, cluster_effects& aOut);
-  void StartUp(const moment& aNow, cluster_effects& aOut);
-  void Learn(const rumour& aRumour, const moment& aNow, cluster_effects& aOut);
+  void SendDigests(cluster_effects& aOut);
+  void Join(const moment& aNow, cluster_effects& aOut);
+  void Learn(const rumour& aRumour,
+             const model::endpoint& aFrom,
+             const moment& aNow,
+             cluster_effects& aOut);
   void TakeItems(const message& aMessage,
-                 const model::endpoint& aFrom,
                  const moment& aNow,
                  cluster_effects& aOut);
   void CompareDigest(const message& aMessage,
-                     const model::endpoint& aFrom,
                      const moment& aNow,
                      cluster_effects& aOut);
   void AntiEntropy(const model::endpoint& aPeer,
@@ -108,11 +111,12 @@
                    bool aEverything,
                    const moment& aNow,
                    cluster_effects& aOut);
+  std::string AnswerAntiEntropy(const std::string& aParams) const;
   void OnAntiEntropy(const std::string& aResult,
                      const model::endpoint& aPeer,
                      const moment& aNow,
                      cluster_effects& aOut);
-  void ExpireCalls(const moment& aNow, cluster_effects& aOut);
+  void DropChanges(); ///< Of members; they are known but not news.
   digest_summary Summary() const;
   spread_context Context(const moment& aNow);
   int RetransmitLimit() const;
@@ -131,7 +135,7 @@
   std::optional<model::instant> mNextGossip;
   std::optional<model::instant> mNextDigest;
   std::optional<model::instant> mLastPull; ///< Of the last anti-entropy call.
-  bool mJoined = false;                    ///< Peers were asked for everything.
+  int mAsked = 0; ///< Peers asked for everything at the start.
 };
 
 } // namespace monsooncroft::cluster
--- a/src/cluster/manifest_spread_base.h
+++ b/src/cluster/manifest_spread_base.h
@@ -13,6 +13,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace monsooncroft::cluster {
@@ -20,8 +21,9 @@
 /** What the spread needs to know about the cluster at a tick. */
 struct spread_context
 {
-  bool mListener = false;              ///< This instance holds a watch.
-  bool mLonely = false;                ///< No peer was heard for a while.
+  bool mListener = false; ///< This instance holds a watch.
+  bool mLonely = false;   ///< No peer was heard for a while.
+  int mAsked = 0;         ///< Peers that were asked for their head at start.
   std::vector<model::endpoint> mPeers; ///< Some random peers.
 };
 
@@ -75,15 +77,22 @@
     std::optional<manifest_head> mHead;  ///< Absent until its text is here.
     std::vector<model::endpoint> mPeers; ///< Those that said they hold it.
     bool mFromPlatform = false;
-    bool mAdopting = false;
   };
 
-  bool Aim(model::manifest_version aVersion, const std::string& aHash);
+  bool Aim(model::manifest_version aVersion,
+           const std::string& aHash,
+           effects& aOut);
   effects Advance(model::instant aNow);
   void PullMissing(model::instant aNow, effects& aOut);
   std::optional<model::endpoint> SourceFor(const pull& aPull);
+  void ReadHead(effects& aOut);
+  void TakeHead(const std::string& aText, effects& aOut);
+  void TakeTargetHead(const std::string& aText, effects& aOut);
+  void Alarm(alarm_kind aKind, const std::string& aText, effects& aOut);
+  std::chrono::milliseconds PollPeriod(const spread_context& aContext) const;
+  model::duration Jitter(std::chrono::milliseconds aPeriod);
   bool MayAdopt(model::instant aNow) const;
-  void Keep(const manifest_head& aHead);
+  void ForgetUnnamed();
   std::vector<std::string> Missing() const;
 
   const manifest_format& mFormat;
@@ -92,6 +101,7 @@
   std::optional<manifest_head> mInForce;
   std::string mHash; ///< Of the head in force.
   std::optional<target> mTarget;
+  std::optional<target> mAdopting;           ///< Handed to the shell.
   std::map<std::string, std::string> mTexts; ///< By hash.
   std::map<std::string, pull> mPulls;        ///< By hash.
   std::set<std::pair<model::manifest_version, std::string>>
@@ -100,7 +110,8 @@
   std::optional<model::instant> mStarted;
   bool mPlatformAnswered = false;
   int mPeersAnswered = 0;
-  int mPeersKnown = 0;
+  int mPeersAsked = 0;
+  std::string mLastAlarm; ///< Not raised again until another one was.
   bool mWatching = false;
   bool mReading = false;
   std::optional<model::instant> mNextWatch;
--- /dev/null
+++ b/src/cluster/membership.cpp
@@ -0,0 +1,294 @@
+/**
+ * @file membership.cpp
+ * Probing of members: pings, indirect pings, suspicion.
+ */
+#include "cluster/membership_base.h"
+
+#include "cluster/message_codec_func.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace monsooncroft::cluster {
+
+namespace {
+
+/** Every so many probes one goes to a dead member, so that both sides of a
+ * healed partition find each other. */
+constexpr std::uint64_t kDeadProbeInterval = 8;
+constexpr std::chrono::seconds kRelayLifetime{ 2 };
+
+} // namespace
+
+membership::packets
+membership::OnTick(model::instant aNow)
+{
+  packets out;
+  if (!mNextProbe) {
+    mNextProbe = aNow;
+  }
+  if (mProbe && !mProbe->mIndirect &&
+      aNow - mProbe->mStart >= mOptions.mProbeTimeout) {
+    AskOthers(out);
+  }
+  if (aNow >= *mNextProbe) {
+    EndProbe(aNow);
+    StartProbe(aNow, out);
+    mNextProbe = std::max(*mNextProbe + mOptions.mProbePeriod, aNow);
+  }
+  ExpireSuspicions(aNow);
+  ExpireTombstones(aNow);
+  std::erase_if(mRelayed, [&](const auto& aEntry) {
+    return aNow - aEntry.second.mStart > kRelayLifetime;
+  });
+  return out;
+}
+
+void
+membership::EndProbe(model::instant aNow)
+{
+  if (!mProbe) {
+    return;
+  }
+  const auto target = mProbe->mTarget;
+  mProbe.reset();
+  Suspect(target, aNow);
+}
+
+void
+membership::StartProbe(model::instant aNow, packets& aOut)
+{
+  ++mProbes;
+  auto target = NextTarget();
+  if (!target || mProbes % kDeadProbeInterval == 0) {
+    const auto dead = DeadTarget();
+    target = dead ? dead : target;
+  }
+  if (!target) {
+    return;
+  }
+  mProbe = probe{ ++mSequence, *target, aNow };
+  auto ping = Make(message_type::Ping, mSequence);
+  ping.mTarget = target->mId;
+  ping.mTargetPeer = target->mPeer;
+  if (target->mState != member_state::Alive) {
+    // The target must hear what is said of it to be able to refute it.
+    ping.mItems.push_back(EncodeItem(*target));
+  }
+  aOut.push_back({ target->mPeer, target->mId, std::move(ping) });
+}
+
+void
+membership::AskOthers(packets& aOut)
+{
+  mProbe->mIndirect = true;
+  auto helpers = Pick(static_cast<std::size_t>(mOptions.mIndirectProbes) + 1);
+  std::erase_if(helpers, [&](const member& aHelper) {
+    return aHelper.mId == mProbe->mTarget.mId;
+  });
+  const auto wanted = static_cast<std::size_t>(mOptions.mIndirectProbes);
+  if (helpers.size() < wanted) {
+    if (const auto elsewhere = PickElsewhere()) {
+      helpers.push_back(*elsewhere);
+    }
+  }
+  helpers.resize(std::min(helpers.size(), wanted));
+  for (const auto& helper : helpers) {
+    auto request = Make(message_type::PingRequest, mProbe->mSequence);
+    request.mTarget = mProbe->mTarget.mId;
+    request.mTargetPeer = mProbe->mTarget.mPeer;
+    aOut.push_back({ helper.mPeer, helper.mId, std::move(request) });
+  }
+}
+
+std::optional<member>
+membership::NextTarget()
+{
+  const auto here = mTable.View()->Of(mSelf.mDataCentre);
+  for (int round = 0; round < 2; ++round) {
+    while (!mRound.empty()) {
+      const auto id = mRound.back();
+      mRound.pop_back();
+      const auto* known = mTable.Find(id);
+      if (known != nullptr && known->mState != member_state::Dead) {
+        return *known;
+      }
+    }
+    for (const auto& candidate : *here) {
+      if (candidate.mId != mSelf.mId) {
+        mRound.push_back(candidate.mId);
+      }
+    }
+    std::shuffle(mRound.begin(), mRound.end(), mRandom);
+  }
+  return std::nullopt;
+}
+
+std::optional<member>
+membership::DeadTarget()
+{
+  std::vector<member> dead;
+  for (const auto& [id, since] : mDeadSince) {
+    const auto* known = mTable.Find(id);
+    if (known != nullptr && known->mDataCentre == mSelf.mDataCentre) {
+      dead.push_back(*known);
+    }
+  }
+  if (dead.empty()) {
+    return std::nullopt;
+  }
+  return dead[mRandom() % dead.size()];
+}
+
+void
+membership::Suspect(const member& aTarget, model::instant aNow)
+{
+  const auto* known = mTable.Find(aTarget.mId);
+  if (known == nullptr || known->mIncarnation != aTarget.mIncarnation) {
+    return;
+  }
+  if (known->mState == member_state::Alive) {
+    Declare(*known, member_state::Suspect, aNow);
+  } else if (known->mState == member_state::Leaving) {
+    Declare(*known, member_state::Dead, aNow);
+  }
+}
+
+model::duration
+membership::SuspicionTime() const
+{
+  const auto spread = std::bit_width(CountHere());
+  return mOptions.mProbePeriod *
+         (mOptions.mSuspicionPeriods + static_cast<int>(spread));
+}
+
+void
+membership::ExpireSuspicions(model::instant aNow)
+{
+  std::vector<member> gone;
+  for (const auto& [id, since] : mSuspectSince) {
+    if (aNow - since >= SuspicionTime()) {
+      gone.push_back(*mTable.Find(id));
+    }
+  }
+  for (const auto& suspect : gone) {
+    Declare(suspect, member_state::Dead, aNow);
+  }
+}
+
+void
+membership::ExpireTombstones(model::instant aNow)
+{
+  std::vector<model::instance_id> old;
+  for (const auto& [id, since] : mDeadSince) {
+    if (aNow - since >= mOptions.mTombstone && mListed.count(id) == 0) {
+      old.push_back(id);
+    }
+  }
+  for (const auto& id : old) {
+    mByPeer.erase(mTable.Find(id)->mPeer);
+    mDeadSince.erase(id);
+    mTable.Erase(id);
+  }
+}
+
+void
+membership::OnPing(const message& aMessage,
+                   const model::endpoint& aFrom,
+                   packets& aOut)
+{
+  // A ping that means a predecessor at this address is answered too: the
+  // sender's claim in the ack tells that the predecessor was replaced.
+  auto ack = Make(message_type::Ack, aMessage.mSequence);
+  aOut.push_back({ aFrom, aMessage.mSender.mId, std::move(ack) });
+}
+
+void
+membership::OnAck(const message& aMessage,
+                  const model::endpoint& aFrom,
+                  packets& aOut)
+{
+  const auto relayed = mRelayed.find(aMessage.mSequence);
+  if (relayed != mRelayed.end()) {
+    if (relayed->second.mTarget == aMessage.mSender.mId) {
+      auto ack = Make(message_type::Ack, relayed->second.mSequence);
+      aOut.push_back({ relayed->second.mAsker, {}, std::move(ack) });
+    }
+    mRelayed.erase(relayed);
+    return;
+  }
+  if (!mProbe || mProbe->mSequence != aMessage.mSequence) {
+    return;
+  }
+  const bool direct = aMessage.mSender.mId == mProbe->mTarget.mId;
+  const bool byHelper = mProbe->mIndirect && aFrom != mProbe->mTarget.mPeer;
+  if (direct || byHelper) {
+    mProbe.reset();
+  }
+}
+
+void
+membership::OnPingRequest(const message& aMessage,
+                          const model::endpoint& aFrom,
+                          model::instant aNow,
+                          packets& aOut)
+{
+  const auto sequence = ++mSequence;
+  mRelayed[sequence] = { aMessage.mSequence, aFrom, aMessage.mTarget, aNow };
+  auto ping = Make(message_type::Ping, sequence);
+  ping.mTarget = aMessage.mTarget;
+  ping.mTargetPeer = aMessage.mTargetPeer;
+  aOut.push_back({ aMessage.mTargetPeer, aMessage.mTarget, std::move(ping) });
+}
+
+membership::packets
+membership::OnMessage(const message& aMessage,
+                      const model::endpoint& aFrom,
+                      model::instant aNow)
+{
+  packets out;
+  mHeard[aMessage.mSender.mDataCentre] = aNow;
+  Merge(aMessage.mSender, aNow);
+  TellSender(aMessage.mSender, out);
+  switch (aMessage.mType) {
+    case message_type::Ping:
+      OnPing(aMessage, aFrom, out);
+      break;
+    case message_type::Ack:
+      OnAck(aMessage, aFrom, out);
+      break;
+    case message_type::PingRequest:
+      OnPingRequest(aMessage, aFrom, aNow, out);
+      break;
+    default:
+      break;
+  }
+  return out;
+}
+
+void
+membership::TellSender(const member& aSender, packets& aOut) const
+{
+  const auto* known = mTable.Find(aSender.mId);
+  const bool doubted = known != nullptr && *known != aSender &&
+                       Supersedes(*known, aSender) &&
+                       known->mState != member_state::Leaving;
+  if (!doubted) {
+    return;
+  }
+  auto notice = Make(message_type::Gossip, 0);
+  notice.mItems.push_back(EncodeItem(*known));
+  aOut.push_back({ aSender.mPeer, aSender.mId, std::move(notice) });
+}
+
+message
+membership::Make(message_type aType, std::uint32_t aSequence) const
+{
+  message made;
+  made.mType = aType;
+  made.mSequence = aSequence;
+  made.mSender = mSelf;
+  return made;
+}
+
+} // namespace monsooncroft::cluster
--- a/src/cluster/membership_base.h
+++ b/src/cluster/membership_base.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace monsooncroft::cluster {
@@ -43,7 +44,8 @@
                       model::instant aNow);
   /** Takes a claim in; refutes one about this instance. */
   bool Merge(const member& aClaim, model::instant aNow);
-  void Leave(); ///< This instance is going; tells it by the next changes.
+  void Leave(model::instant aNow); ///< This instance is going; others learn
+                                   ///< it from the next changes.
   /** After a pause: old probes prove nothing, and others may suspect us. */
   void OnPause(model::duration aGap, model::instant aNow);
 
@@ -72,25 +74,33 @@
   {
     std::uint32_t mSequence = 0; ///< The asker's.
     model::endpoint mAsker;
+    model::instance_id mTarget;
     model::instant mStart;
   };
 
   bool Apply(const member& aClaim, model::instant aNow);
-  void Refute(incarnation aHeard);
+  void Refute(incarnation aHeard, model::instant aNow);
+  void NoteState(const member& aClaim, model::instant aNow);
   void Suspect(const member& aTarget, model::instant aNow);
-  void RetireReplaced(const member& aNewcomer, model::instant aNow);
+  void RetireReplaced(const member& aClaim, model::instant aNow);
+  void Declare(member aMember, member_state aState, model::instant aNow);
+  void DropUnlisted(model::instant aNow);
   void ExpireSuspicions(model::instant aNow);
   void ExpireTombstones(model::instant aNow);
   void StartProbe(model::instant aNow, packets& aOut);
   void AskOthers(packets& aOut);
+  void EndProbe(model::instant aNow);
+  void TellSender(const member& aSender, packets& aOut) const;
   std::optional<member> NextTarget();
-  member_list Candidates() const;
+  std::optional<member> DeadTarget();
   model::duration SuspicionTime() const;
   message Make(message_type aType, std::uint32_t aSequence) const;
   void OnPing(const message& aMessage,
               const model::endpoint& aFrom,
               packets& aOut);
-  void OnAck(const message& aMessage, packets& aOut);
+  void OnAck(const message& aMessage,
+             const model::endpoint& aFrom,
+             packets& aOut);
   void OnPingRequest(const message& aMessage,
                      const model::endpoint& aFrom,
                      model::instant aNow,
@@ -109,6 +119,10 @@
   std::map<model::instance_id, model::instant> mSuspectSince;
   std::map<model::instance_id, model::instant> mDeadSince;
   std::set<model::instance_id> mListed; ///< In the last instance list.
+  std::map<model::instance_id, model::instant>
+    mUnlistedSince; ///< Members of other data centres that the list lacks.
+  std::map<model::endpoint, model::instance_id> mByPeer; ///< Last claimant.
+  std::uint64_t mProbes = 0; ///< Probes made so far.
   std::map<model::data_centre_id, model::instant> mHeard;
 };
 
--- /dev/null
+++ b/src/cluster/membership_cmd.cpp
@@ -0,0 +1,236 @@
+/**
+ * @file membership_cmd.cpp
+ * Everything that changes what is known about members, and choices among them.
+ */
+#include "cluster/membership_base.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsooncroft::cluster {
+
+namespace {
+
+/** A member of another data centre that the instance list lacks for so long,
+ * with nobody heard from there, is gone. */
+constexpr std::chrono::minutes kUnlistedLimit{ 2 };
+
+} // namespace
+
+membership::membership(member aSelf,
+                       const cluster_options& aOptions,
+                       std::uint64_t aSeed)
+  : mSelf(std::move(aSelf))
+  , mOptions(aOptions)
+  , mRandom(aSeed)
+{
+  Apply(mSelf, model::instant());
+}
+
+bool
+membership::Merge(const member& aClaim, model::instant aNow)
+{
+  if (aClaim.mId != mSelf.mId) {
+    return Apply(aClaim, aNow);
+  }
+  if (aClaim.mIncarnation > 0 && Supersedes(aClaim, mSelf)) {
+    Refute(aClaim.mIncarnation, aNow);
+    return true;
+  }
+  return false;
+}
+
+void
+membership::Refute(incarnation aHeard, model::instant aNow)
+{
+  mSelf.mIncarnation = std::max(mSelf.mIncarnation, aHeard) + 1;
+  Apply(mSelf, aNow);
+}
+
+void
+membership::Leave(model::instant aNow)
+{
+  mSelf.mState = member_state::Leaving;
+  Apply(mSelf, aNow);
+}
+
+void
+membership::OnPause(model::duration /*aGap*/, model::instant aNow)
+{
+  mProbe.reset();
+  mRelayed.clear();
+  mNextProbe = aNow;
+  for (auto& [id, since] : mSuspectSince) {
+    since = aNow;
+  }
+  Refute(mSelf.mIncarnation, aNow);
+}
+
+bool
+membership::Apply(const member& aClaim, model::instant aNow)
+{
+  if (!mTable.Merge(aClaim)) {
+    return false;
+  }
+  NoteState(aClaim, aNow);
+  if (aClaim.mIncarnation > 0 || aClaim.mState == member_state::Dead) {
+    mChanges.push_back(aClaim);
+  }
+  if (aClaim.mState != member_state::Dead) {
+    RetireReplaced(aClaim, aNow);
+  }
+  return true;
+}
+
+void
+membership::NoteState(const member& aClaim, model::instant aNow)
+{
+  const bool here = aClaim.mDataCentre == mSelf.mDataCentre;
+  if (aClaim.mState == member_state::Suspect && here) {
+    mSuspectSince[aClaim.mId] = aNow;
+  } else {
+    mSuspectSince.erase(aClaim.mId);
+  }
+  if (aClaim.mState == member_state::Dead) {
+    mDeadSince[aClaim.mId] = aNow;
+  } else {
+    mDeadSince.erase(aClaim.mId);
+  }
+}
+
+/** Of two members at one address the one with the lower incarnation is gone. */
+void
+membership::RetireReplaced(const member& aClaim, model::instant aNow)
+{
+  const auto [holder, fresh] = mByPeer.try_emplace(aClaim.mPeer, aClaim.mId);
+  if (fresh || holder->second == aClaim.mId) {
+    return;
+  }
+  const auto* known = mTable.Find(holder->second);
+  const bool live = known != nullptr && known->mState != member_state::Dead;
+  if (live && known->mIncarnation > aClaim.mIncarnation) {
+    Declare(aClaim, member_state::Dead, aNow);
+    return;
+  }
+  holder->second = aClaim.mId;
+  if (live) {
+    Declare(*known, member_state::Dead, aNow);
+  }
+}
+
+void
+membership::Declare(member aMember, member_state aState, model::instant aNow)
+{
+  aMember.mState = aState;
+  Merge(aMember, aNow);
+}
+
+void
+membership::OnInstanceList(const std::vector<listed_instance>& aList,
+                           model::instant aNow)
+{
+  mListed.clear();
+  for (const auto& listed : aList) {
+    mListed.insert(listed.mId);
+    const auto state =
+      listed.mLeaving ? member_state::Leaving : member_state::Alive;
+    if (listed.mId != mSelf.mId) {
+      Apply({ listed.mId, listed.mDataCentre, listed.mPeer, 0, state }, aNow);
+    }
+  }
+  if (!aList.empty()) {
+    DropUnlisted(aNow);
+  }
+}
+
+void
+membership::DropUnlisted(model::instant aNow)
+{
+  std::vector<member> gone;
+  for (const auto& [id, known] : mTable.All()) {
+    const bool judgedHere = known.mDataCentre == mSelf.mDataCentre;
+    const bool listed = mListed.count(id) != 0;
+    if (judgedHere || listed || known.mState == member_state::Dead) {
+      mUnlistedSince.erase(id);
+      continue;
+    }
+    const auto since = mUnlistedSince.try_emplace(id, aNow).first->second;
+    const auto heard = LastHeardFrom(known.mDataCentre);
+    const bool silent = !heard || aNow - *heard >= kUnlistedLimit;
+    if (silent && aNow - since >= kUnlistedLimit) {
+      gone.push_back(known);
+    }
+  }
+  for (const auto& known : gone) {
+    Declare(known, member_state::Dead, aNow);
+  }
+}
+
+std::vector<member>
+membership::TakeChanges()
+{
+  return std::exchange(mChanges, {});
+}
+
+member_list
+membership::Pick(std::size_t aCount)
+{
+  member_list others;
+  for (const auto& candidate : *mTable.View()->Of(mSelf.mDataCentre)) {
+    if (candidate.mId != mSelf.mId) {
+      others.push_back(candidate);
+    }
+  }
+  const auto count = std::min(aCount, others.size());
+  for (std::size_t place = 0; place < count; ++place) {
+    const auto left = others.size() - place;
+    std::swap(others[place], others[place + (mRandom() % left)]);
+  }
+  others.resize(count);
+  return others;
+}
+
+std::optional<member>
+membership::PickElsewhere()
+{
+  const auto view = mTable.View();
+  std::vector<member_list_ptr> elsewhere;
+  for (const auto& [dataCentre, list] : view->Lists()) {
+    if (dataCentre != mSelf.mDataCentre && !list->empty()) {
+      elsewhere.push_back(list);
+    }
+  }
+  if (elsewhere.empty()) {
+    return std::nullopt;
+  }
+  const auto& list = *elsewhere[mRandom() % elsewhere.size()];
+  return list[mRandom() % list.size()];
+}
+
+std::size_t
+membership::CountHere() const
+{
+  return mTable.View()->Of(mSelf.mDataCentre)->size();
+}
+
+std::optional<model::instant>
+membership::LastHeard() const
+{
+  std::optional<model::instant> last;
+  for (const auto& [dataCentre, heard] : mHeard) {
+    last = last ? std::max(*last, heard) : heard;
+  }
+  return last;
+}
+
+std::optional<model::instant>
+membership::LastHeardFrom(const model::data_centre_id& aDataCentre) const
+{
+  const auto found = mHeard.find(aDataCentre);
+  if (found == mHeard.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+} // namespace monsooncroft::cluster
--- /dev/null
+++ b/src/cluster/ownership.cpp
@@ -0,0 +1,152 @@
+/**
+ * @file ownership.cpp
+ * Grouping of leaves and choice of owners.
+ */
+#include "cluster/ownership_base.h"
+
+#include "cluster/rendezvous_func.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace monsooncroft::cluster {
+
+namespace {
+
+using leaves_by_place =
+  std::map<model::data_centre_id, std::vector<model::leaf_id>>;
+
+/** Each leaf once, in the order of the shards that it serves. */
+leaves_by_place
+InShardOrder(const model::service& aService)
+{
+  leaves_by_place places;
+  std::set<model::leaf_id> seen;
+  for (const auto& shard : aService.mShards) {
+    for (const auto& replica : shard.mReplicas) {
+      const auto* leaf = aService.FindLeaf(replica);
+      if (leaf != nullptr && seen.insert(replica).second) {
+        places[leaf->mDataCentre].push_back(replica);
+      }
+    }
+  }
+  return places;
+}
+
+std::string
+KeyOf(const leaf_group& aGroup)
+{
+  return aGroup.mService.Value() + "/" + aGroup.mDataCentre.Value() + "/" +
+         std::to_string(aGroup.mIndex);
+}
+
+} // namespace
+
+std::vector<leaf_group>
+GroupLeaves(const model::service& aService)
+{
+  std::vector<leaf_group> groups;
+  for (const auto& [place, leaves] : InShardOrder(aService)) {
+    for (std::size_t start = 0; start < leaves.size();
+         start += kMaxGroupLeaves) {
+      const auto end = std::min(start + kMaxGroupLeaves, leaves.size());
+      leaf_group group;
+      group.mService = aService.mId;
+      group.mDataCentre = place;
+      group.mIndex = static_cast<int>(start / kMaxGroupLeaves);
+      group.mLeaves.assign(leaves.begin() + static_cast<std::ptrdiff_t>(start),
+                           leaves.begin() + static_cast<std::ptrdiff_t>(end));
+      groups.push_back(std::move(group));
+    }
+  }
+  return groups;
+}
+
+ownership::ownership(model::manifest_ptr aManifest,
+                     member_view_ptr aView,
+                     std::size_t aOwnersPerGroup)
+  : mManifest(std::move(aManifest))
+  , mView(std::move(aView))
+  , mOwnersPerGroup(aOwnersPerGroup)
+{
+}
+
+ownership_ptr
+ownership::Build(const model::manifest_ptr& aManifest,
+                 const member_view_ptr& aView,
+                 std::size_t aOwnersPerGroup,
+                 const ownership_ptr& aBefore)
+{
+  const std::shared_ptr<ownership> table(
+    new ownership(aManifest, aView, aOwnersPerGroup));
+  const bool sameManifest = aBefore && aBefore->mManifest == aManifest;
+  if (sameManifest) {
+    table->mGroups = aBefore->mGroups;
+  } else {
+    for (const auto& service : aManifest->Services()) {
+      table->mGroups[service.mId] = GroupLeaves(service);
+    }
+  }
+  table->Assign(sameManifest ? aBefore.get() : nullptr);
+  return table;
+}
+
+bool
+ownership::Reusable(const ownership* aBefore,
+                    const model::data_centre_id& aDataCentre) const
+{
+  return aBefore != nullptr && aBefore->mOwnersPerGroup == mOwnersPerGroup &&
+         aBefore->mView->Of(aDataCentre) == mView->Of(aDataCentre);
+}
+
+void
+ownership::Assign(const ownership* aBefore)
+{
+  std::map<model::data_centre_id, bool> reusable;
+  for (auto& [service, groups] : mGroups) {
+    for (auto& group : groups) {
+      const auto [known, fresh] =
+        reusable.try_emplace(group.mDataCentre, false);
+      if (fresh) {
+        known->second = Reusable(aBefore, group.mDataCentre);
+      }
+      if (!known->second) {
+        group.mOwners = RankByRendezvous(
+          KeyOf(group), *mView->Of(group.mDataCentre), mOwnersPerGroup);
+      }
+      for (const auto& leaf : group.mLeaves) {
+        mByLeaf[leaf] = &group;
+      }
+    }
+  }
+}
+
+const std::vector<leaf_group>&
+ownership::GroupsOf(const model::service_id& aService) const
+{
+  static const std::vector<leaf_group> kNone;
+  const auto found = mGroups.find(aService);
+  return found == mGroups.end() ? kNone : found->second;
+}
+
+const leaf_group*
+ownership::GroupOf(const model::leaf_id& aLeaf) const
+{
+  const auto found = mByLeaf.find(aLeaf);
+  return found == mByLeaf.end() ? nullptr : found->second;
+}
+
+bool
+ownership::Owns(const model::instance_id& aInstance,
+                const leaf_group& aGroup) const
+{
+  if (aGroup.mOwners.empty()) {
+    return true;
+  }
+  return std::find(aGroup.mOwners.begin(), aGroup.mOwners.end(), aInstance) !=
+         aGroup.mOwners.end();
+}
+
+} // namespace monsooncroft::cluster
--- /dev/null
+++ b/src/cluster/rumour.cpp
@@ -0,0 +1,36 @@
+/**
+ * @file rumour.cpp
+ * Drain marks as rumours.
+ */
+#include "cluster/rumour_type.h"
+
+namespace monsooncroft::cluster {
+
+rumour
+ToRumour(const drain_mark& aMark,
+         model::wall_instant aNow,
+         std::chrono::milliseconds aLifetime)
+{
+  rumour entry;
+  entry.mKey = { rumour_kind::DrainMark, aMark.mLeaf.Value() };
+  entry.mVersion = static_cast<std::uint64_t>(aNow.time_since_epoch().count());
+  entry.mPayload = std::to_string(static_cast<int>(aMark.mSignal));
+  entry.mExpires = aNow + aLifetime;
+  return entry;
+}
+
+std::optional<drain_mark>
+ToDrainMark(const rumour& aRumour)
+{
+  const bool single = aRumour.mPayload.size() == 1;
+  if (aRumour.mKey.mKind != rumour_kind::DrainMark || !single) {
+    return std::nullopt;
+  }
+  const auto signal = static_cast<drain_signal>(aRumour.mPayload[0] - '0');
+  if (signal < drain_signal::None || signal >= drain_signal::End) {
+    return std::nullopt;
+  }
+  return drain_mark{ model::leaf_id(aRumour.mKey.mName), signal };
+}
+
+} // namespace monsooncroft::cluster
--- /dev/null
+++ b/test/cluster/fake_network.h
@@ -0,0 +1,139 @@
+/**
+ * @file fake_network.h
+ * Instances on one virtual clock with seeded delay, loss, cuts and pauses, and
+ * a fake platform.
+ */
+#ifndef MONSOONCROFT_TEST_CLUSTER_FAKE_NETWORK_H
+#define MONSOONCROFT_TEST_CLUSTER_FAKE_NETWORK_H
+
+#include "cluster/cluster_core_base.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace monsooncroft::test {
+
+using namespace std::chrono_literals;
+using cluster::moment;
+
+/** Heads as "version name=hash ...". */
+class fake_format : public cluster::manifest_format
+{
+public:
+  std::optional<cluster::manifest_head> ParseHead(
+    const std::string& aText) const override;
+  std::string Hash(const std::string& aText) const override;
+};
+
+/** The platform's store of manifests. */
+struct fake_platform
+{
+  std::string mHead;                     ///< Empty: none.
+  std::optional<std::string> mStaleHead; ///< Given instead, if set.
+  std::map<std::string, std::string> mTexts;
+  bool mUp = true;
+  bool mWatchFires = true;
+  std::set<model::data_centre_id> mCutOff; ///< Cannot reach it.
+  int mReads = 0;
+
+  /** Accepts a manifest of some chunks. @return Its version. */
+  void Apply(model::manifest_version aVersion);
+};
+
+/** One instance on the network. */
+struct fake_instance
+{
+  cluster::member mSelf;
+  std::unique_ptr<cluster::cluster_core> mCore;
+  bool mUp = true;
+  model::instant mPausedUntil;
+  std::vector<model::manifest_version> mAdopted;
+  std::vector<cluster::alarm_kind> mAlarms;
+  std::map<cluster::rumour_key, model::instant> mLearned;
+  bool mWatching = false;
+  std::uint64_t mMessages = 0; ///< Sent.
+  std::uint64_t mBytes = 0;    ///< Sent, with IP and UDP headers.
+  std::uint64_t mLongest = 0;  ///< Datagram.
+};
+
+/** All of them. */
+class fake_network
+{
+public:
+  explicit fake_network(std::uint64_t aSeed);
+
+  fake_instance& Add(const std::string& aId,
+                     const std::string& aDataCentre,
+                     std::uint16_t aPort);
+  /** Adds instances "<dc>-<n>" and shows all of them in the list. */
+  void AddMany(int aDataCentres, int aEach);
+  void Kill(const std::string& aId) { mInstances.at(aId).mUp = false; }
+  void ShowList(); ///< Gives every instance the list of those that are up.
+  void Run(std::chrono::milliseconds aTime);
+  /** Runs until the condition holds. @return The time it took, or the limit. */
+  std::chrono::milliseconds Until(const std::function<bool()>& aCondition,
+                                  std::chrono::milliseconds aLimit);
+  void Cut(std::function<bool(const cluster::member&, const cluster::member&)>
+             aCut); ///< True for pairs that cannot talk.
+  moment Now() const;
+  void Do(fake_instance& aInstance, const cluster::cluster_effects& aEffects);
+
+  /** Members that an instance counts as live. */
+  std::set<std::string> SeenBy(const std::string& aId) const;
+  /** Whether every instance that is up sees just those that are up. */
+  bool Converged() const;
+  bool AllAt(model::manifest_version aVersion) const;
+
+  std::map<std::string, fake_instance> mInstances;
+  fake_platform mPlatform;
+  double mLoss = 0; ///< Chance that a packet is lost.
+
+private:
+  enum class transport
+  {
+    Udp, ///< Loses datagrams.
+    Tcp, ///< Sends again what is lost.
+  };
+  using task = std::function<void()>;
+  struct event
+  {
+    model::instant mAt;
+    std::uint64_t mOrder;
+    task mTask;
+    bool operator<(const event& aOther) const
+    {
+      return std::tie(mAt, mOrder) > std::tie(aOther.mAt, aOther.mOrder);
+    }
+  };
+
+  void At(model::instant aTime, task aTask);
+  void Tick(const std::string& aId);
+  void Deliver(const cluster::member& aFrom,
+               const model::endpoint& aTo,
+               transport aTransport,
+               std::function<void(fake_instance&)> aWhat);
+  fake_instance* Holder(const model::endpoint& aPeer);
+  bool Lost();
+  void CallPeer(fake_instance& aFrom, const cluster::call_peer& aCall);
+  void AskPlatform(fake_instance& aFrom, bool aWatch);
+  void Later(const std::string& aId,
+             model::duration aDelay,
+             std::function<void(fake_instance&)> aWhat);
+
+  std::mt19937_64 mRandom;
+  fake_format mFormat;
+  model::instant mNow{ 1'000s };
+  std::uint64_t mOrder = 0;
+  std::priority_queue<event> mEvents;
+  std::function<bool(const cluster::member&, const cluster::member&)> mCut;
+};
+
+} // namespace monsooncroft::test
+
+#endif
--- /dev/null
+++ b/test/cluster/manifest_spread_test.cpp
@@ -0,0 +1,152 @@
+/**
+ * @file manifest_spread_test.cpp
+ * A change comes into force everywhere and never goes back.
+ */
+#include "cluster/fake_network.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace monsooncroft::test {
+
+namespace {
+
+constexpr std::uint64_t kSeed = 11;
+
+/** Three data centres that all run version 1. */
+class spread : public testing::Test
+{
+protected:
+  spread()
+    : mNetwork(kSeed)
+  {
+    mNetwork.mPlatform.Apply(1);
+    mNetwork.AddMany(3, 3);
+    mNetwork.Run(10s);
+  }
+
+  void TearDown() override
+  {
+    for (const auto& [id, instance] : mNetwork.mInstances) {
+      EXPECT_TRUE(
+        std::is_sorted(instance.mAdopted.begin(), instance.mAdopted.end()))
+        << id;
+    }
+  }
+
+  std::chrono::milliseconds TimeToReach(model::manifest_version aVersion)
+  {
+    return mNetwork.Until([&] { return mNetwork.AllAt(aVersion); }, 60s);
+  }
+
+  fake_network mNetwork;
+};
+
+TEST_F(spread, ChangeIsInForceEverywhere)
+{
+  ASSERT_TRUE(mNetwork.AllAt(1));
+  mNetwork.mPlatform.Apply(2);
+  EXPECT_LE(TimeToReach(2), 2s);
+}
+
+TEST_F(spread, WatchThatNeverFiresIsMadeUpForByPolls)
+{
+  mNetwork.mPlatform.mWatchFires = false;
+  mNetwork.mPlatform.Apply(2);
+  EXPECT_LE(TimeToReach(2), 5s);
+}
+
+TEST_F(spread, DataCentreCutFromThePlatformLearnsFromPeers)
+{
+  mNetwork.mPlatform.mCutOff.insert(model::data_centre_id("dc1"));
+  mNetwork.mPlatform.Apply(2);
+  EXPECT_LE(TimeToReach(2), 5s);
+}
+
+TEST_F(spread, LostDatagramsDelayButDoNotStop)
+{
+  mNetwork.mLoss = 0.2;
+  mNetwork.mPlatform.Apply(2);
+  EXPECT_LE(TimeToReach(2), 5s);
+}
+
+TEST_F(spread, StaleStoreIsRefusedAndAlarmed)
+{
+  mNetwork.mPlatform.Apply(2);
+  TimeToReach(2);
+  const auto head = mNetwork.mPlatform.mHead;
+  mNetwork.mPlatform.Apply(1);
+  mNetwork.mPlatform.mStaleHead = mNetwork.mPlatform.mHead;
+  mNetwork.mPlatform.mHead = head;
+  mNetwork.Run(20s);
+  EXPECT_TRUE(mNetwork.AllAt(2));
+  const bool alarmed =
+    std::any_of(mNetwork.mInstances.begin(),
+                mNetwork.mInstances.end(),
+                [](const auto& aEntry) {
+                  const auto& alarms = aEntry.second.mAlarms;
+                  return std::count(alarms.begin(),
+                                    alarms.end(),
+                                    cluster::alarm_kind::LowerHead) > 0;
+                });
+  EXPECT_TRUE(alarmed);
+}
+
+TEST_F(spread, FreshInstanceTakesTheHighestOfPlatformAndPeers)
+{
+  const auto stale = mNetwork.mPlatform.mHead;
+  mNetwork.mPlatform.Apply(2);
+  TimeToReach(2);
+  mNetwork.mPlatform.mStaleHead = stale;
+  mNetwork.Add("dc0-new", "dc0", 99);
+  mNetwork.ShowList();
+  EXPECT_LE(TimeToReach(2), 5s);
+  EXPECT_EQ(mNetwork.mInstances.at("dc0-new").mAdopted,
+            std::vector<model::manifest_version>{ 2 });
+}
+
+TEST_F(spread, FreshInstanceStartsFromPeersWhileThePlatformIsDown)
+{
+  mNetwork.mPlatform.mUp = false;
+  mNetwork.Add("dc2-new", "dc2", 99);
+  mNetwork.ShowList();
+  EXPECT_LE(TimeToReach(1), 5s);
+}
+
+TEST_F(spread, InstanceWithoutPeersAsksThePlatformItself)
+{
+  mNetwork.Cut([](const auto& aFrom, const auto& aTo) {
+    return aFrom.mId.Value() == "dc0-2" || aTo.mId.Value() == "dc0-2";
+  });
+  mNetwork.Run(20s);
+  mNetwork.mPlatform.Apply(2);
+  EXPECT_LE(TimeToReach(2), 12s);
+}
+
+TEST_F(spread, RestartedInstancesComeBackNoLower)
+{
+  mNetwork.mPlatform.Apply(2);
+  TimeToReach(2);
+  mNetwork.mPlatform.mUp = false;
+  for (const std::string id : { "dc0-0", "dc0-1", "dc1-0" }) {
+    const auto self = mNetwork.mInstances.at(id).mSelf;
+    mNetwork.Kill(id);
+    mNetwork.Run(500ms);
+    mNetwork.Add(id, self.mDataCentre.Value(), self.mPeer.mPort);
+    mNetwork.ShowList();
+    EXPECT_LE(TimeToReach(2), 6s);
+  }
+}
+
+TEST_F(spread, FewInstancesHoldWatches)
+{
+  mNetwork.mPlatform.mReads = 0;
+  mNetwork.Run(60s);
+  // Two listeners in each of three data centres: a read each 1.2 s at the
+  // least and a watch each 20 s.
+  EXPECT_LE(mNetwork.mPlatform.mReads, 2 * 3 * (60 * 10 / 12 + 3));
+}
+
+} // namespace
+
+} // namespace monsooncroft::test
--- /dev/null
+++ b/test/cluster/membership_test.cpp
@@ -0,0 +1,188 @@
+/**
+ * @file membership_test.cpp
+ * Who is there, over a network that loses, cuts and pauses.
+ */
+#include "cluster/fake_network.h"
+
+#include <gtest/gtest.h>
+
+namespace monsooncroft::test {
+
+namespace {
+
+constexpr std::uint64_t kSeed = 7;
+
+bool
+NobodySees(const fake_network& aNetwork, const std::string& aId)
+{
+  for (const auto& [id, instance] : aNetwork.mInstances) {
+    if (instance.mUp && aNetwork.SeenBy(id).count(aId) != 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::set<std::string>
+IdsIn(const fake_network& aNetwork)
+{
+  std::set<std::string> ids;
+  for (const auto& [id, instance] : aNetwork.mInstances) {
+    ids.insert(id);
+  }
+  return ids;
+}
+
+class of_size : public testing::TestWithParam<std::pair<int, int>>
+{
+protected:
+  of_size()
+    : mNetwork(kSeed)
+  {
+    mNetwork.AddMany(GetParam().first, GetParam().second);
+    mNetwork.Run(10s);
+  }
+  fake_network mNetwork;
+};
+
+TEST_P(of_size, DeadMemberIsOutOnceSuspicionEnds)
+{
+  ASSERT_TRUE(mNetwork.Converged());
+  mNetwork.Kill("dc0-1");
+  const auto took =
+    mNetwork.Until([&] { return NobodySees(mNetwork, "dc0-1"); }, 30s);
+  RecordProperty("took_ms", static_cast<int>(took.count()));
+  EXPECT_LE(took, 12s);
+  mNetwork.Run(10s);
+  EXPECT_TRUE(mNetwork.Converged());
+}
+
+TEST_P(of_size, LeavingMemberOwnsNothingWithinASecond)
+{
+  auto& leaver = mNetwork.mInstances.at("dc0-1");
+  mNetwork.Do(leaver, leaver.mCore->Leave(mNetwork.Now()));
+  const auto took =
+    mNetwork.Until([&] { return NobodySees(mNetwork, "dc0-1"); }, 30s);
+  EXPECT_LE(took, 3s);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes,
+                         of_size,
+                         testing::Values(std::pair(3, 3),
+                                         std::pair(3, 10),
+                                         std::pair(4, 25)));
+
+TEST(Membership, LossLeavesNoFalseDeath)
+{
+  fake_network network(kSeed);
+  network.AddMany(3, 3);
+  network.mLoss = 0.2;
+  network.Run(120s);
+  network.mLoss = 0;
+  EXPECT_LT(network.Until([&] { return network.Converged(); }, 30s), 30s);
+}
+
+TEST(Membership, PausedInstanceIsTakenOutAndRefutesWhenItWakes)
+{
+  fake_network network(kSeed);
+  network.AddMany(3, 3);
+  network.Run(10s);
+  auto& paused = network.mInstances.at("dc1-0");
+  const auto before = paused.mCore->Members().Self().mIncarnation;
+  paused.mPausedUntil = network.Now().mNow + 30s;
+  const auto outAfter = network.Until(
+    [&] { return network.SeenBy("dc0-0").count("dc1-0") == 0; }, 20s);
+  EXPECT_LT(outAfter, 12s);
+  network.Run(30s - outAfter);
+  EXPECT_LT(network.Until([&] { return network.Converged(); }, 20s), 10s);
+  EXPECT_GT(paused.mCore->Members().Self().mIncarnation, before);
+}
+
+TEST(Membership, BothSidesOfACutConvergeOnceItHeals)
+{
+  fake_network network(kSeed);
+  network.AddMany(3, 3);
+  network.Run(10s);
+  network.Cut([](const auto& aFrom, const auto& aTo) {
+    const bool from = aFrom.mId.Value() == "dc0-0";
+    const bool to = aTo.mId.Value() == "dc0-0";
+    return from != to;
+  });
+  network.Run(60s);
+  EXPECT_EQ(network.SeenBy("dc0-1").count("dc0-0"), 0U);
+  network.Cut(nullptr);
+  EXPECT_LT(network.Until([&] { return network.Converged(); }, 60s), 30s);
+}
+
+TEST(Membership, DataCentreThatIsCutOffIsNotDeclaredDead)
+{
+  fake_network network(kSeed);
+  network.AddMany(3, 3);
+  network.Run(10s);
+  const auto all = IdsIn(network);
+  network.Cut([](const auto& aFrom, const auto& aTo) {
+    return (aFrom.mDataCentre.Value() == "dc0") !=
+           (aTo.mDataCentre.Value() == "dc0");
+  });
+  network.Run(300s);
+  EXPECT_EQ(network.SeenBy("dc1-0"), all);
+  const auto heard =
+    network.mInstances.at("dc1-0").mCore->Members().LastHeardFrom(
+      model::data_centre_id("dc0"));
+  EXPECT_GT(network.Now().mNow - *heard, 250s);
+  network.Kill("dc0-2");
+  network.Run(30s);
+  EXPECT_EQ(network.SeenBy("dc1-0").count("dc0-2"), 1U);
+  network.Cut(nullptr);
+  EXPECT_LT(network.Until([&] { return network.Converged(); }, 30s), 10s);
+}
+
+TEST(Membership, ReplacementAtTheSameAddressRetiresTheOneBefore)
+{
+  fake_network network(kSeed);
+  network.AddMany(3, 3);
+  network.Run(10s);
+  const auto port = network.mInstances.at("dc2-2").mSelf.mPeer.mPort;
+  network.Kill("dc2-2");
+  network.Run(1s);
+  network.Add("dc2-new", "dc2", port);
+  network.ShowList();
+  EXPECT_LT(network.Until([&] { return network.Converged(); }, 30s), 5s);
+}
+
+TEST(Membership, RestartWithAClockSetBackIsStillHeard)
+{
+  fake_network network(kSeed);
+  network.AddMany(3, 3);
+  network.Run(10s);
+  const auto self = network.mInstances.at("dc2-2").mSelf;
+  network.Kill("dc2-2");
+  network.Run(15s);
+  auto& restarted = network.Add("dc2-2", "dc2", self.mPeer.mPort);
+  restarted.mSelf.mIncarnation = self.mIncarnation - 5'000;
+  const fake_format format;
+  restarted.mCore = std::make_unique<cluster::cluster_core>(
+    restarted.mSelf, format, cluster::cluster_options(), kSeed);
+  network.ShowList();
+  EXPECT_LT(network.Until([&] { return network.Converged(); }, 30s), 10s);
+}
+
+TEST(Membership, LaggingListDoesNotBringBackTheDead)
+{
+  fake_network network(kSeed);
+  network.AddMany(3, 3);
+  network.Run(10s);
+  const auto ghost = network.mInstances.at("dc0-1").mSelf;
+  network.Kill("dc0-1");
+  network.Run(15s);
+  auto& other = network.mInstances.at("dc0-0");
+  network.Do(
+    other,
+    other.mCore->OnInstanceList(
+      { { ghost.mId, ghost.mDataCentre, ghost.mPeer, false } }, network.Now()));
+  EXPECT_EQ(network.SeenBy("dc0-0").count("dc0-1"), 0U);
+}
+
+} // namespace
+
+} // namespace monsooncroft::test
--- /dev/null
+++ b/test/cluster/rumour_test.cpp
@@ -0,0 +1,122 @@
+/**
+ * @file rumour_test.cpp
+ * Merging of rumours, and how fast drain marks reach everyone.
+ */
+#include "cluster/fake_network.h"
+#include "cluster/message_codec_func.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace monsooncroft::test {
+
+namespace {
+
+constexpr std::uint64_t kSeed = 13;
+const model::wall_instant kNow{ 1'000'000ms };
+
+/** Few keys, versions and payloads, so that entries clash. */
+rc::Gen<cluster::rumour>
+AnyRumour()
+{
+  return rc::gen::map(
+    rc::gen::tuple(
+      rc::gen::inRange(0, 3), rc::gen::inRange(0, 4), rc::gen::inRange(0, 3)),
+    [](const std::tuple<int, int, int>& aNumbers) {
+      cluster::rumour made;
+      made.mKey = { cluster::rumour_kind::Quarantine,
+                    std::to_string(std::get<0>(aNumbers)) };
+      made.mVersion = static_cast<std::uint64_t>(std::get<1>(aNumbers));
+      made.mPayload = std::to_string(std::get<2>(aNumbers));
+      made.mExpires = kNow + 10s;
+      return made;
+    });
+}
+
+RC_GTEST_PROP(Rumours, MergeIsCommutativeAndIdempotent, ())
+{
+  auto entries = *rc::gen::container<std::vector<cluster::rumour>>(AnyRumour());
+  cluster::rumour_table forward(100);
+  cluster::rumour_table backward(100);
+  for (auto entry = entries.begin(); entry != entries.end(); ++entry) {
+    forward.Merge(*entry, kNow);
+    forward.Merge(*entry, kNow);
+  }
+  for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+    backward.Merge(*entry, kNow);
+  }
+  RC_ASSERT(forward.Digest() == backward.Digest());
+  RC_ASSERT(forward.OfKind(cluster::rumour_kind::Quarantine) ==
+            backward.OfKind(cluster::rumour_kind::Quarantine));
+}
+
+TEST(Rumours, TableIsBoundedAndForgets)
+{
+  cluster::rumour_table table(10);
+  for (int number = 0; number < 50; ++number) {
+    cluster::rumour entry;
+    entry.mKey = { cluster::rumour_kind::Load, std::to_string(number) };
+    entry.mExpires = kNow + 1s * (number + 1);
+    table.Merge(entry, kNow);
+  }
+  EXPECT_EQ(table.Count(), 10U);
+  table.Expire(kNow + 60s);
+  EXPECT_EQ(table.Count(), 0U);
+  EXPECT_EQ(table.Digest(), cluster::rumour_table(10).Digest());
+}
+
+TEST(Rumours, MalformedDatagramsAreDropped)
+{
+  cluster::message message;
+  message.mType = cluster::message_type::Digest;
+  message.mSender.mId = model::instance_id("a");
+  message.mDigest.mMembers = { { 1, 2 } };
+  message.mItems = { cluster::EncodeItem(message.mSender) };
+  const auto bytes = cluster::EncodeMessage(message);
+  EXPECT_EQ(cluster::DecodeMessage(bytes), message);
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    EXPECT_FALSE(cluster::DecodeMessage(bytes.substr(0, length)));
+  }
+}
+
+class drain_marks : public testing::TestWithParam<std::tuple<int, int, double>>
+{};
+
+TEST_P(drain_marks, ReachEveryoneWithinThreeSeconds)
+{
+  const auto [dataCentres, each, loss] = GetParam();
+  fake_network network(kSeed);
+  network.AddMany(dataCentres, each);
+  network.Run(10s);
+  network.mLoss = loss;
+  auto& finder = network.mInstances.at("dc0-0");
+  const auto mark = cluster::ToRumour(
+    { model::leaf_id("leaf-1"), cluster::drain_signal::OwnReply },
+    network.Now().mWall,
+    60s);
+  network.Do(finder, finder.mCore->Put(mark, network.Now()));
+  const auto took = network.Until(
+    [&] {
+      for (const auto& [id, instance] : network.mInstances) {
+        if (instance.mCore->Rumours().Find(mark.mKey) == nullptr) {
+          return false;
+        }
+      }
+      return true;
+    },
+    30s);
+  RecordProperty("took_ms", static_cast<int>(took.count()));
+  EXPECT_LE(took, 3s);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes,
+                         drain_marks,
+                         testing::Values(std::tuple(3, 3, 0.0),
+                                         std::tuple(3, 3, 0.2),
+                                         std::tuple(3, 10, 0.05),
+                                         std::tuple(4, 25, 0.05),
+                                         std::tuple(1, 164, 0.05)));
+
+} // namespace
+
+} // namespace monsooncroft::test
