--- /dev/null
+++ b/src/peer/jsonrpc/rpc_names.h
@@ -0,0 +1,19 @@
+/**
+ * @file rpc_names.h
+ * Names of the parameters that every method takes.
+ */
+#ifndef MONSOONCROFT_PEER_JSONRPC_RPC_NAMES_H
+#define MONSOONCROFT_PEER_JSONRPC_RPC_NAMES_H
+
+// C++14 has no nested namespace definitions.
+// NOLINTNEXTLINE(modernize-concat-nested-namespaces)
+namespace monsooncroft {
+namespace peer {
+
+constexpr const char* kMessageIdParam = "message_id"; ///< Unique text.
+constexpr const char* kBodyParam = "body"; ///< The parameters as a JSON text.
+
+} // namespace peer
+} // namespace monsooncroft
+
+#endif
