ctl: check, plan, apply, status, watch, query, explain and settings

Cause: operators drive the tier only by shipping manifests, by hand or from a pipeline, and must be told truly what became of each.

Exit codes tell apart conflict, not applied, unknown, and accepted but not yet in force everywhere. Every report is one JSON object; the text for people is rendered from it, so that the two cannot differ.

--- /dev/null
+++ b/src/ctl/command_context.cpp
@@ -0,0 +1,160 @@
+/**
+ * @file command_context.cpp
+ * What commands share.
+ */
+#include "ctl/command_context_base.h"
+
+#include "ctl/instance_client_base.h"
+#include "ctl/text_table_func.h"
+#include "platform/instance_list_base.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace monsooncroft::ctl {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+constexpr std::chrono::milliseconds kStatusTimeout{ 2000 };
+
+template<class T>
+T
+Member(const json& aObject, const char* aName, T aDefault)
+{
+  const auto found = aObject.find(aName);
+  if (found == aObject.end()) {
+    return aDefault;
+  }
+  try {
+    return found->get<T>();
+  } catch (const json::exception&) {
+    return aDefault;
+  }
+}
+
+void
+ReadStatus(const net::exchange_result& aResult, instance_status& aStatus)
+{
+  const bool replied = aResult.mState == net::send_state::Replied &&
+                       aResult.mResponse.mStatus == net::kHttpOk;
+  if (!replied) {
+    return;
+  }
+  const json body = json::parse(aResult.mResponse.mBody, nullptr, false);
+  if (!body.is_object()) {
+    return;
+  }
+  aStatus.mAnswered = true;
+  aStatus.mInstance = Member<std::string>(body, "instance", aStatus.mInstance);
+  aStatus.mDataCentre =
+    Member<std::string>(body, "data_centre", aStatus.mDataCentre);
+  aStatus.mManifest = Member<model::manifest_version>(body, "manifest", 0);
+  aStatus.mReady = Member<bool>(body, "ready", false);
+  const auto alarms = body.find("alarms");
+  if (alarms != body.end() && alarms->is_array()) {
+    for (const json& alarm : *alarms) {
+      aStatus.mAlarms.push_back(alarm.is_string() ? alarm.get<std::string>()
+                                                  : alarm.dump());
+    }
+  }
+}
+
+} // namespace
+
+void
+command_context::Report(const json& aReport) const
+{
+  if (mOptions.mJson) {
+    *mOut << aReport.dump(-1, ' ', false, json::error_handler_t::replace)
+          << "\n";
+  } else {
+    *mOut << RenderText(aReport);
+  }
+  mOut->flush();
+}
+
+instance_targets
+FindInstances(const command_context& aContext)
+{
+  instance_targets out;
+  if (!aContext.mOptions.mInstances.empty()) {
+    out.mKnown = true;
+    for (const model::endpoint& address : aContext.mOptions.mInstances) {
+      instance_status named;
+      named.mAddress = address;
+      named.mInstance = address.ToString();
+      out.mInstances.push_back(std::move(named));
+    }
+    return out;
+  }
+  if (aContext.mList == nullptr) {
+    return out;
+  }
+  const platform::instances_outcome listed = aContext.mList->List();
+  out.mKnown = listed.mStatus == platform::store_status::Ok;
+  for (const platform::listed_instance& entry : listed.mInstances) {
+    if (entry.mRole == platform::instance_role::Entry) {
+      instance_status listedOne;
+      listedOne.mAddress = entry.mCallerAddress;
+      listedOne.mInstance = entry.mId;
+      listedOne.mDataCentre = entry.mDataCentre.Value();
+      listedOne.mLeaving = entry.mLeaving;
+      out.mInstances.push_back(std::move(listedOne));
+    }
+  }
+  return out;
+}
+
+std::vector<instance_status>
+AskInstances(const command_context& aContext,
+             std::vector<instance_status> aTargets)
+{
+  std::vector<model::endpoint> addresses;
+  addresses.reserve(aTargets.size());
+  for (const instance_status& target : aTargets) {
+    addresses.push_back(target.mAddress);
+  }
+  const auto results = aContext.mInstances->CallAll(
+    addresses, { "GET", "/v1/status", "" }, kStatusTimeout);
+  for (std::size_t i = 0; i < aTargets.size(); ++i) {
+    ReadStatus(results[i], aTargets[i]);
+  }
+  return aTargets;
+}
+
+json
+ToJson(const std::vector<instance_status>& aInstances)
+{
+  json out = json::array();
+  for (const instance_status& each : aInstances) {
+    json row = { { "instance", each.mInstance },
+                 { "data_centre", each.mDataCentre },
+                 { "address", each.mAddress.ToString() },
+                 { "answered", each.mAnswered },
+                 { "leaving", each.mLeaving } };
+    row["manifest"] = each.mAnswered ? json(each.mManifest) : json();
+    row["ready"] = each.mReady;
+    row["alarms"] = each.mAlarms;
+    out.push_back(std::move(row));
+  }
+  return out;
+}
+
+std::optional<std::string>
+ReadFile(const command_context& aContext, const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  std::ostringstream text;
+  if (file) {
+    text << file.rdbuf();
+  }
+  if (!file) {
+    *aContext.mErr << aPath << ": cannot be read\n";
+    return std::nullopt;
+  }
+  return text.str();
+}
+
+} // namespace monsooncroft::ctl
--- /dev/null
+++ b/src/ctl/command_line.cpp
@@ -0,0 +1,188 @@
+/**
+ * @file command_line.cpp
+ * Parses the command line.
+ */
+#include "ctl/command_line_func.h"
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+
+namespace monsooncroft::ctl {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kMillisecondsInSecond = 1000;
+constexpr double kDefaultTimeoutSeconds = 30;
+constexpr double kLongestTimeoutSeconds = 86400 * 365.0;
+
+/** What CLI11 fills in; turned into options afterwards. */
+struct raw_line
+{
+  command_options mOptions;
+  std::vector<std::string> mPlatform;
+  std::vector<std::string> mInstances;
+  std::optional<double> mTimeoutSeconds;
+};
+
+/** Accepts numeric endpoints only. */
+std::string
+CheckEndpoint(const std::string& aText)
+{
+  return model::endpoint::Parse(aText) ? "" : aText + " is no numeric ip:port";
+}
+
+std::vector<model::endpoint>
+Endpoints(const std::vector<std::string>& aTexts)
+{
+  std::vector<model::endpoint> out;
+  out.reserve(aTexts.size());
+  for (const std::string& text : aTexts) {
+    out.push_back(*model::endpoint::Parse(text));
+  }
+  return out;
+}
+
+CLI::App*
+Add(CLI::App& aApp,
+    raw_line& aLine,
+    command aCommand,
+    const char* aName,
+    const char* aText)
+{
+  CLI::App* sub = aApp.add_subcommand(aName, aText);
+  sub->callback([&aLine, aCommand] { aLine.mOptions.mCommand = aCommand; });
+  return sub;
+}
+
+void
+AddCommon(CLI::App& aApp, raw_line& aLine)
+{
+  aApp.add_option("--platform", aLine.mPlatform, "Platform address, ip:port")
+    ->check(CheckEndpoint)
+    ->take_all();
+  aApp
+    .add_option("--instance",
+                aLine.mInstances,
+                "Caller address of an entry instance (default: the platform's "
+                "instance list)")
+    ->check(CheckEndpoint)
+    ->take_all();
+  aApp.add_flag("--json", aLine.mOptions.mJson, "JSON lines for scripts");
+  aApp.add_option("--timeout", aLine.mTimeoutSeconds, "Seconds to wait in all")
+    ->check(CLI::Range(0.1, kLongestTimeoutSeconds));
+}
+
+void
+AddManifestCommands(CLI::App& aApp, raw_line& aLine)
+{
+  command_options& options = aLine.mOptions;
+  CLI::App* check =
+    Add(aApp, aLine, command::Check, "check", "Check a manifest");
+  check->add_option("file", options.mFile, "Manifest")->required();
+  CLI::App* plan = Add(
+    aApp, aLine, command::Plan, "plan", "Show what a manifest would change");
+  plan->add_option("file", options.mFile, "Manifest")->required();
+  CLI::App* apply =
+    Add(aApp, aLine, command::Apply, "apply", "Put a manifest into force");
+  apply->add_option("file", options.mFile, "Manifest")->required();
+  apply->add_flag(
+    "--wait", options.mWait, "Wait until every instance has it in force");
+  apply->add_option(
+    "--base", options.mBase, "Version planned against; refused if it moved");
+  CLI::Option* change = apply->add_option(
+    "--change", options.mChange, "Name of this change (default: a fresh one)");
+  apply
+    ->add_flag("--repeat",
+               options.mRepeat,
+               "An earlier run with this --change may have taken effect")
+    ->needs(change);
+  apply->add_flag("--recover",
+                  options.mRecover,
+                  "The platform lost its manifest: go on above the version "
+                  "that instances have in force");
+}
+
+void
+AddInstanceCommands(CLI::App& aApp, raw_line& aLine)
+{
+  command_options& options = aLine.mOptions;
+  Add(aApp, aLine, command::Status, "status", "Show every entry instance");
+  Add(aApp, aLine, command::Watch, "watch", "Show every change, until stopped");
+  CLI::App* query = Add(aApp, aLine, command::Query, "query", "Ask a query");
+  CLI::App* explain = Add(aApp,
+                          aLine,
+                          command::Explain,
+                          "explain",
+                          "Show how a query would be routed");
+  for (CLI::App* sub : { query, explain }) {
+    sub->add_option("--service", options.mService, "Service")->required();
+    sub->add_option("--kind", options.mKind, "Request kind")->required();
+  }
+  query->add_option("--tenant", options.mTenant, "Tenant")->required();
+  query->add_option(
+    "--id", options.mRequest, "Request id (default: a fresh one)");
+  query->add_option(
+    "--issued-at-ms",
+    options.mIssuedAtMs,
+    "Wall clock of the first sending (default: now); keep it with --id");
+  query->add_option("--body", options.mBody, "JSON for the leaves");
+  query->add_option("--deadline-ms", options.mDeadlineMs, "Deadline");
+  CLI::App* settings = Add(aApp,
+                           aLine,
+                           command::Settings,
+                           "settings",
+                           "Check a settings file, or print the page");
+  settings->add_option("file", options.mFile, "Settings file");
+}
+
+bool
+NeedsPlatform(const command_options& aOptions)
+{
+  switch (aOptions.mCommand) {
+    case command::Plan:
+    case command::Apply:
+      return true;
+    case command::Check:
+    case command::Settings:
+      return false;
+    default:
+      return aOptions.mInstances.empty();
+  }
+}
+
+} // namespace
+
+std::variant<command_options, exit_code>
+ParseCommandLine(int aCount, char** aArguments)
+{
+  raw_line line;
+  CLI::App app{ "monsooncroftctl: the operators' command of the query tier" };
+  app.require_subcommand(1);
+  app.fallthrough();
+  AddCommon(app, line);
+  AddManifestCommands(app, line);
+  AddInstanceCommands(app, line);
+  try {
+    app.parse(aCount, aArguments);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? exit_code::Done : exit_code::Usage;
+  }
+  command_options options = std::move(line.mOptions);
+  options.mPlatform = Endpoints(line.mPlatform);
+  options.mInstances = Endpoints(line.mInstances);
+  const bool endless = options.mCommand == command::Watch;
+  const double seconds = line.mTimeoutSeconds.value_or(
+    endless ? kLongestTimeoutSeconds : kDefaultTimeoutSeconds);
+  options.mTimeout =
+    milliseconds(static_cast<std::int64_t>(seconds * kMillisecondsInSecond));
+  if (NeedsPlatform(options) && options.mPlatform.empty()) {
+    std::cerr << "--platform is needed here\n";
+    return exit_code::Usage;
+  }
+  return options;
+}
+
+} // namespace monsooncroft::ctl
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,107 @@
+/**
+ * @file main.cpp
+ * monsooncroftctl: the operators' command.
+ */
+#include "ctl/command_context_base.h"
+#include "ctl/command_func.h"
+#include "ctl/command_line_func.h"
+#include "ctl/http_instance_client_base.h"
+#include "net/http_connector_base.h"
+#include "net/http_pool_base.h"
+#include "platform/platform_client_base.h"
+
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace {
+
+using namespace monsooncroft;
+
+constexpr std::size_t kIdleConnections = 4;
+/** An operator's command is rare; its share is for bursts only. */
+constexpr platform::rate_share kShare{ 50, 200 };
+
+model::instant
+Now()
+{
+  return std::chrono::time_point_cast<model::duration>(
+    std::chrono::steady_clock::now());
+}
+
+model::wall_instant
+WallNow()
+{
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+    std::chrono::system_clock::now());
+}
+
+/** 96 random bits: names never collide in practice. */
+std::string
+FreshId()
+{
+  constexpr int kWords = 3;
+  constexpr std::size_t kDigits = 8;
+  std::random_device random;
+  std::string out;
+  for (int i = 0; i < kWords; ++i) {
+    std::string digits;
+    for (std::size_t j = 0; j < kDigits; ++j) {
+      constexpr unsigned kDigitMask = 0xF;
+      digits += "0123456789abcdef"[random() & kDigitMask];
+    }
+    out += digits;
+  }
+  return out;
+}
+
+ctl::exit_code
+Run(const ctl::command_options& aOptions)
+{
+  const auto connector = net::http_connector::Create(1);
+  net::http_pool pool(*connector, kIdleConnections);
+  ctl::http_instance_client instances(pool);
+  std::unique_ptr<platform::platform_client> store;
+  if (!aOptions.mPlatform.empty()) {
+    platform::platform_options options;
+    options.mAddresses = aOptions.mPlatform;
+    options.mShare = kShare;
+    store = std::make_unique<platform::platform_client>(pool, options, Now);
+  }
+  ctl::command_context context;
+  context.mOptions = aOptions;
+  context.mStore = store.get();
+  context.mList = store.get();
+  context.mInstances = &instances;
+  context.mOut = &std::cout;
+  context.mErr = &std::cerr;
+  context.mNow = Now;
+  context.mWallNow = WallNow;
+  context.mSleep = [](model::duration aTime) {
+    std::this_thread::sleep_for(aTime);
+  };
+  context.mFreshId = FreshId;
+  const ctl::exit_code code = ctl::RunCommand(context);
+  connector->Stop();
+  return code;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto parsed = ctl::ParseCommandLine(aCount, aArguments);
+  if (const auto* code = std::get_if<ctl::exit_code>(&parsed)) {
+    return static_cast<int>(*code);
+  }
+  try {
+    return static_cast<int>(Run(std::get<ctl::command_options>(parsed)));
+  } catch (const std::exception& error) {
+    // Where it broke off is not known: a change or a request may be under way.
+    std::cerr << error.what() << "\n";
+    return static_cast<int>(ctl::exit_code::Unknown);
+  }
+}
--- /dev/null
+++ b/src/ctl/manifest_commands.cpp
@@ -0,0 +1,296 @@
+/**
+ * @file manifest_commands.cpp
+ * check, plan, apply and settings.
+ */
+#include "config/manifest_json_func.h"
+#include "config/settings_base.h"
+#include "config/settings_doc_func.h"
+#include "ctl/command_context_base.h"
+#include "ctl/command_func.h"
+#include "platform/apply_run_func.h"
+#include "platform/manifest_fetch_func.h"
+#include "platform/manifest_plan_type.h"
+#include "platform/manifest_reader_base.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace monsooncroft::ctl {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+constexpr model::duration kFirstPause = std::chrono::milliseconds(100);
+constexpr model::duration kLongestPause = std::chrono::seconds(2);
+constexpr model::duration kPollPeriod = std::chrono::milliseconds(250);
+constexpr int kFetchTries = 3;
+
+void
+ReportFaults(const command_context& aContext,
+             const config::config_errors& aErrors)
+{
+  json faults = json::array();
+  for (const config::config_error& error : aErrors) {
+    faults.push_back({ { "path", error.mPath },
+                       { "found", error.mFound },
+                       { "allowed", error.mAllowed } });
+  }
+  aContext.Report({ { "valid", false }, { "faults", std::move(faults) } });
+}
+
+/** The manifest of the command line, or nothing once faults are reported. */
+std::optional<model::manifest>
+LoadFile(const command_context& aContext)
+{
+  const auto text = ReadFile(aContext, aContext.mOptions.mFile);
+  if (!text) {
+    return std::nullopt;
+  }
+  auto parsed = config::ParseManifest(*text, 0);
+  if (parsed.has_error()) {
+    ReportFaults(aContext, parsed.error());
+    return std::nullopt;
+  }
+  return std::move(parsed.value());
+}
+
+/** The manifest in force; none is an empty one of version 0. */
+std::optional<model::manifest>
+LoadInForce(const command_context& aContext)
+{
+  platform::manifest_reader reader;
+  for (int i = 0; i < kFetchTries; ++i) {
+    const auto got = platform::FetchManifest(*aContext.mStore, reader);
+    if (got.mStatus == platform::store_status::NotFound) {
+      return model::manifest(0, {}, {});
+    }
+    if (reader.InForce()) {
+      return *reader.InForce();
+    }
+    aContext.mSleep(kFirstPause);
+  }
+  for (const platform::manifest_alarm& alarm : reader.Alarms()) {
+    *aContext.mErr << ToString(alarm.mKind) << ": " << alarm.mText << "\n";
+  }
+  return std::nullopt;
+}
+
+json
+ToJson(const std::vector<platform::plan_entry>& aPlan)
+{
+  json out = json::array();
+  for (const platform::plan_entry& entry : aPlan) {
+    out.push_back({ { "change", ToString(entry.mChange) },
+                    { "what", ToString(entry.mSubject) },
+                    { "service", entry.mService.Value() },
+                    { "name", entry.mName },
+                    { "detail", entry.mDetail } });
+  }
+  return out;
+}
+
+/** Instances that are not there yet; leaving ones do not count. */
+std::vector<instance_status>
+Behind(const std::vector<instance_status>& aInstances,
+       model::manifest_version aVersion)
+{
+  std::vector<instance_status> out;
+  for (const instance_status& each : aInstances) {
+    const bool there = each.mAnswered && each.mManifest >= aVersion;
+    if (!there && !each.mLeaving) {
+      out.push_back(each);
+    }
+  }
+  return out;
+}
+
+void
+ReportProgress(const command_context& aContext,
+               model::manifest_version aVersion,
+               std::size_t aAll,
+               const std::vector<instance_status>& aBehind)
+{
+  json names = json::array();
+  for (const instance_status& each : aBehind) {
+    names.push_back(
+      each.mInstance +
+      (each.mAnswered ? " at " + std::to_string(each.mManifest) : " silent"));
+  }
+  aContext.Report({ { "manifest", aVersion },
+                    { "in_force_on", aAll - aBehind.size() },
+                    { "of", aAll },
+                    { "waiting_for", std::move(names) } });
+}
+
+/** Waits until every instance has a version, or one above it, in force. */
+exit_code
+WaitEverywhere(const command_context& aContext,
+               model::manifest_version aVersion,
+               model::instant aEnd)
+{
+  std::optional<std::vector<instance_status>> before;
+  while (true) {
+    const instance_targets targets = FindInstances(aContext);
+    const auto states = AskInstances(aContext, targets.mInstances);
+    const auto behind = Behind(states, aVersion);
+    if (targets.mKnown && before != behind) {
+      ReportProgress(aContext, aVersion, states.size(), behind);
+      before = behind;
+    }
+    if (targets.mKnown && behind.empty()) {
+      return exit_code::Done;
+    }
+    if (aContext.mNow() >= aEnd) {
+      *aContext.mErr << "accepted, but not seen in force everywhere in time\n";
+      return exit_code::NotEverywhere;
+    }
+    aContext.mSleep(kPollPeriod);
+  }
+}
+
+exit_code
+ExitOf(platform::apply_end aEnd)
+{
+  switch (aEnd) {
+    case platform::apply_end::Accepted:
+      return exit_code::Done;
+    case platform::apply_end::Conflict:
+      return exit_code::Conflict;
+    case platform::apply_end::NotApplied:
+      return exit_code::NotApplied;
+    case platform::apply_end::Unknown:
+      return exit_code::Unknown;
+  }
+  return exit_code::Unknown;
+}
+
+platform::apply_request
+RequestOf(const command_context& aContext, const model::manifest& aManifest)
+{
+  const command_options& options = aContext.mOptions;
+  const std::string name =
+    options.mChange.empty() ? aContext.mFreshId() : options.mChange;
+  auto out = platform::apply_request::Of(aManifest, platform::change_id(name));
+  out.mBase = options.mBase;
+  out.mRepeated = options.mRepeat;
+  out.mRecover = options.mRecover;
+  // What instances have in force is never older than what was accepted: a
+  // store that has lost it must not be written below.
+  const auto states =
+    AskInstances(aContext, FindInstances(aContext).mInstances);
+  for (const instance_status& each : states) {
+    out.mSeen = std::max(out.mSeen, each.mManifest);
+  }
+  return out;
+}
+
+json
+ReportOf(const platform::apply_request& aRequest,
+         const platform::apply_verdict& aVerdict)
+{
+  json out = { { "result", ToString(aVerdict.mEnd) },
+               { "change", aRequest.mChange.Value() } };
+  const bool accepted = aVerdict.mEnd == platform::apply_end::Accepted;
+  if (accepted) {
+    out["manifest"] = aVerdict.mVersion;
+    if (aVerdict.mNewest > aVerdict.mVersion) {
+      out["superseded_by"] = aVerdict.mNewest;
+    }
+    return out;
+  }
+  out["reason"] = aVerdict.mReason;
+  if (aVerdict.mEnd == platform::apply_end::Conflict) {
+    out["first"] = aVerdict.mWinner.Empty() ? json("not known")
+                                            : json(aVerdict.mWinner.Value());
+    out["manifest_of_first"] = aVerdict.mVersion;
+  }
+  return out;
+}
+
+} // namespace
+
+exit_code
+RunCheck(const command_context& aContext)
+{
+  const auto loaded = LoadFile(aContext);
+  if (!loaded) {
+    return exit_code::Faults;
+  }
+  std::size_t shards = 0;
+  std::size_t leaves = 0;
+  for (const model::service& service : loaded->Services()) {
+    shards += service.mShards.size();
+    leaves += service.mLeaves.size();
+  }
+  aContext.Report({ { "valid", true },
+                    { "tenants", loaded->Tenants().size() },
+                    { "services", loaded->Services().size() },
+                    { "shards", shards },
+                    { "leaves", leaves } });
+  return exit_code::Done;
+}
+
+exit_code
+RunPlan(const command_context& aContext)
+{
+  const auto loaded = LoadFile(aContext);
+  if (!loaded) {
+    return exit_code::Faults;
+  }
+  const auto inForce = LoadInForce(aContext);
+  if (!inForce) {
+    *aContext.mErr << "the manifest in force could not be read\n";
+    return exit_code::NoAnswer;
+  }
+  const auto plan = platform::PlanChanges(*inForce, *loaded);
+  aContext.Report({ { "base", inForce->Version() },
+                    { "changes", plan.size() },
+                    { "plan", ToJson(plan) } });
+  return exit_code::Done;
+}
+
+exit_code
+RunApply(const command_context& aContext)
+{
+  const model::instant end = aContext.mNow() + aContext.mOptions.mTimeout;
+  const auto loaded = LoadFile(aContext);
+  if (!loaded) {
+    return exit_code::Faults;
+  }
+  const platform::apply_request request = RequestOf(aContext, *loaded);
+  const auto pause = [&aContext](int aFailures) {
+    const model::duration grown = kFirstPause * (1 << std::min(aFailures, 5));
+    aContext.mSleep(std::min(grown, kLongestPause));
+  };
+  const platform::apply_verdict verdict =
+    platform::RunApply(request, *aContext.mStore, pause);
+  aContext.Report(ReportOf(request, verdict));
+  const bool accepted = verdict.mEnd == platform::apply_end::Accepted;
+  if (!accepted || !aContext.mOptions.mWait) {
+    return ExitOf(verdict.mEnd);
+  }
+  return WaitEverywhere(aContext, verdict.mVersion, end);
+}
+
+exit_code
+RunSettings(const command_context& aContext)
+{
+  if (aContext.mOptions.mFile.empty()) {
+    *aContext.mOut << config::SettingsPage();
+    return exit_code::Done;
+  }
+  const auto text = ReadFile(aContext, aContext.mOptions.mFile);
+  if (!text) {
+    return exit_code::Faults;
+  }
+  const auto parsed = config::settings::Parse(*text);
+  if (parsed.has_error()) {
+    ReportFaults(aContext, parsed.error());
+    return exit_code::Faults;
+  }
+  aContext.Report({ { "valid", true } });
+  return exit_code::Done;
+}
+
+} // namespace monsooncroft::ctl
