--- a/src/link/leaf_link.cpp
+++ b/src/link/leaf_link.cpp
@@ -290,7 +290,7 @@
       NotSent(aAttempt, kReasonExpired);
       return;
     }
-    execute_request& request = aAttempt->mRequest;
+    execute_request request = aAttempt->mRequest;
     const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(
       now - aAttempt->mStarted);
     request.mRemaining =
@@ -299,14 +299,29 @@
                                aAttempt->mDeadline - now,
                                [self = shared_from_this(), aAttempt, aUse](
                                  const net::exchange_result& aResult) {
-                                 attempt_end end = self->Blank(*aAttempt);
-                                 const exchange_end how =
-                                   Conclude(aAttempt->mRequest, aResult, end);
-                                 self->End(aUse, how);
-                                 aAttempt->mDone(end);
+                                 self->OnReply(aAttempt, aUse, aResult);
                                });
   }
 
+  void OnReply(const attempt_ptr& aAttempt,
+               const taken& aUse,
+               const net::exchange_result& aResult)
+  {
+    const bool unsent = aResult.mState == net::send_state::NotSent &&
+                        aResult.mError == net::exchange_error::Closed;
+    if (unsent && aUse.mKind != pick_kind::Open) {
+      // The leaf had closed this idle connection and no byte left: another one
+      // may serve. Each turn removes a connection, so this ends.
+      End(aUse, exchange_end::Broken);
+      Start(aAttempt);
+      return;
+    }
+    attempt_end end = Blank(*aAttempt);
+    const exchange_end how = Conclude(aAttempt->mRequest, aResult, end);
+    End(aUse, how);
+    aAttempt->mDone(end);
+  }
+
   net::http_connector& mConnector;
   const model::leaf mLeaf;
   const clock mClock;
