Quarantine of requests that kill leaves

Cause: a request that crashes each leaf that runs it is sent again by its caller, through any instance. Weighed: counting deaths for each request (an innocent one that was in flight at two deaths is refused with it) against marks for each pair of request and death, from which instances derive who was present; trials of suspects at any instance against one at a time through the service's home, alone on a leaf.

--- /dev/null
+++ b/src/once/quarantine.cpp
@@ -0,0 +1,170 @@
+/**
+ * @file quarantine.cpp
+ * Judging requests by the deaths at which they were present.
+ */
+#include "once/quarantine_base.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace monsooncroft::once {
+
+namespace {
+
+constexpr std::size_t kHashDigits = 32;
+/** Deaths that are not yet proof. */
+constexpr std::size_t kSuspectDeaths = 1;
+
+} // namespace
+
+death_hash
+HashDeath(const model::leaf_id& aLeaf, const std::string& aBoot)
+{
+  const std::string& leaf = aLeaf.Value();
+  const std::string text = std::to_string(leaf.size()) + ':' + leaf + aBoot;
+  const auto hash = XXH3_128bits(text.data(), text.size());
+  return { hash.high64, hash.low64 };
+}
+
+std::string
+NameOf(const death_mark& aMark)
+{
+  return ToHex(aMark.mSuspicion.mContent) + ToHex(aMark.mSuspicion.mDeath);
+}
+
+std::optional<suspicion>
+ParseMarkName(const std::string& aName, const model::service_id& aService)
+{
+  if (aName.size() != 2 * kHashDigits) {
+    return std::nullopt;
+  }
+  const std::string_view name = aName;
+  const auto content = ParseRequestHash(name.substr(0, kHashDigits));
+  const auto death = ParseRequestHash(name.substr(kHashDigits));
+  if (!content || !death) {
+    return std::nullopt;
+  }
+  return suspicion{ { content->mHigh, content->mLow },
+                    { death->mHigh, death->mLow },
+                    aService };
+}
+
+std::string
+TrialKey(passage aPassage,
+         const content_hash& aContent,
+         const model::service_id& aService)
+{
+  if (aPassage == passage::Isolated) {
+    return "trial/" + aService.Value();
+  }
+  return "first/" + ToHex(aContent);
+}
+
+std::set<death_hash>
+quarantine::Deaths(const content_hash& aContent,
+                   model::wall_instant aWall) const
+{
+  std::set<death_hash> out;
+  const mark_key from{ aContent, {} };
+  for (auto it = mMarks.lower_bound(from); it != mMarks.end(); ++it) {
+    if (it->first.first != aContent) {
+      break;
+    }
+    if (!it->second.mCleared && it->second.mExpires > aWall) {
+      out.insert(it->first.second);
+    }
+  }
+  for (auto it = mDoubts.lower_bound(from); it != mDoubts.end(); ++it) {
+    if (it->first != aContent) {
+      break;
+    }
+    out.insert(it->second);
+  }
+  return out;
+}
+
+std::set<content_hash>
+quarantine::Present(const death_hash& aDeath, model::wall_instant aWall) const
+{
+  std::set<content_hash> out;
+  for (const auto& [key, mark] : mMarks) {
+    if (key.second == aDeath && !mark.mCleared && mark.mExpires > aWall) {
+      out.insert(key.first);
+    }
+  }
+  return out;
+}
+
+bool
+quarantine::KilledAlone(const content_hash& aContent,
+                        model::wall_instant aWall) const
+{
+  const std::set<death_hash> deaths = Deaths(aContent, aWall);
+  return deaths.size() > kSuspectDeaths &&
+         std::any_of(deaths.begin(), deaths.end(), [&](const auto& aDeath) {
+           return Present(aDeath, aWall) == std::set{ aContent };
+         });
+}
+
+std::size_t
+quarantine::Unexplained(const content_hash& aContent,
+                        model::wall_instant aWall) const
+{
+  std::size_t count = 0;
+  for (const death_hash& death : Deaths(aContent, aWall)) {
+    const auto present = Present(death, aWall);
+    const bool explained =
+      std::any_of(present.begin(), present.end(), [&](const auto& aOther) {
+        return aOther != aContent && KilledAlone(aOther, aWall);
+      });
+    count += explained ? 0 : 1;
+  }
+  return count;
+}
+
+bool
+quarantine::IsScreened(const content_hash& aContent,
+                       const model::service_id& aService,
+                       model::wall_instant aWall) const
+{
+  if (mSettings.mScreening == screening::Never ||
+      mProven.count(aContent) != 0) {
+    return false;
+  }
+  return mSettings.mScreening == screening::Always ||
+         std::any_of(mMarks.begin(), mMarks.end(), [&](const auto& aEntry) {
+           const death_mark& mark = aEntry.second;
+           return mark.mSuspicion.mService == aService && mark.mExpires > aWall;
+         });
+}
+
+passage
+quarantine::Admit(const content_hash& aContent,
+                  const model::service_id& aService,
+                  model::wall_instant aWall) const
+{
+  const std::size_t deaths = Deaths(aContent, aWall).size();
+  if (deaths == 0) {
+    return IsScreened(aContent, aService, aWall) ? passage::FirstAlone
+                                                 : passage::Free;
+  }
+  const bool proved =
+    deaths > kSuspectDeaths && (KilledAlone(aContent, aWall) ||
+                                Unexplained(aContent, aWall) > kSuspectDeaths);
+  return proved ? passage::Refused : passage::Isolated;
+}
+
+std::vector<death_mark>
+quarantine::Export(model::wall_instant aWall) const
+{
+  std::vector<death_mark> out;
+  for (const auto& [key, mark] : mMarks) {
+    if (mark.mExpires > aWall) {
+      out.push_back(mark);
+    }
+  }
+  return out;
+}
+
+} // namespace monsooncroft::once
