--- a/src/policy/admission_queue.cpp
+++ b/src/policy/admission_queue.cpp
@@ -5,12 +5,12 @@
 #include "policy/admission_queue_base.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace monsooncroft::policy {
 
 using model::duration;
 using model::instant;
+using model::tenant_id;
 
 const char*
 ToString(refusal aRefusal)
@@ -30,19 +30,27 @@
   return "too_late";
 }
 
+/** In arrival order all items share one class and one tenant. */
 std::size_t
-admission_queue::ClassOf(const admission_item& aItem)
+admission_queue::ClassOf(const admission_item& aItem) const
 {
-  return static_cast<std::size_t>(aItem.mUrgency);
+  return Fifo() ? 0 : static_cast<std::size_t>(aItem.mUrgency);
+}
+
+tenant_id
+admission_queue::TenantOf(const admission_item& aItem) const
+{
+  return Fifo() ? tenant_id() : aItem.mTenant;
 }
 
 double
-admission_queue::Used(const admission_item& aItem) const
+admission_queue::Used(const urgency_class& aClass,
+                      const tenant_id& aTenant) const
 {
-  const urgency_class& own = mClasses[ClassOf(aItem)];
-  const auto used = own.mUsed.find(aItem.mTenant);
-  return used == own.mUsed.end() ? own.mVirtualTime
-                                 : std::max(used->second, own.mVirtualTime);
+  const auto used = aClass.mUsed.find(aTenant);
+  return used == aClass.mUsed.end()
+           ? aClass.mVirtualTime
+           : std::max(used->second, aClass.mVirtualTime);
 }
 
 std::size_t
@@ -65,85 +73,86 @@
   return best.value_or(0);
 }
 
-bool
-admission_queue::GoesBefore(const waiting& aLeft, const waiting& aRight) const
+/** The item that the next free slot goes to. @pre Something waits. */
+const admission_item&
+admission_queue::Best(instant aNow) const
 {
-  const auto key = [this](const waiting& aEntry) {
-    return std::make_tuple(
-      Used(aEntry.mItem), aEntry.mItem.mDeadline, aEntry.mSequence);
-  };
-  return key(aLeft) < key(aRight);
-}
-
-admission_queue::queue::iterator
-admission_queue::Best(instant aNow)
-{
-  if (mSettings.mMode == admission_mode::Fifo) {
-    return mWaiting.begin();
-  }
-  const std::size_t wanted = BestClass(aNow);
-  auto best = mWaiting.end();
-  for (auto each = mWaiting.begin(); each != mWaiting.end(); ++each) {
-    const bool candidate = ClassOf(each->mItem) == wanted;
-    if (candidate && (best == mWaiting.end() || GoesBefore(*each, *best))) {
+  const urgency_class& from = mClasses[BestClass(aNow)];
+  auto best = from.mTenants.begin();
+  auto bestKey =
+    std::pair(Used(from, best->first), best->second.mItems.begin()->first);
+  for (auto each = std::next(best); each != from.mTenants.end(); ++each) {
+    const auto key =
+      std::pair(Used(from, each->first), each->second.mItems.begin()->first);
+    if (key < bestKey) {
       best = each;
+      bestKey = key;
     }
   }
-  return best;
+  return best->second.mItems.begin()->second;
 }
 
-/** The item that a full queue gives up for aItem; end if that is aItem. */
-admission_queue::queue::iterator
-admission_queue::Worst(const admission_item& aItem)
+/**
+ * The item that a full queue gives up for aItem: of the least urgent class,
+ * of the tenant that holds the most for its weight, the latest deadline.
+ * Null if that is aItem itself.
+ */
+const admission_item*
+admission_queue::Worst(const admission_item& aItem) const
 {
-  std::map<std::pair<std::size_t, model::tenant_id>, double> held;
-  held[{ ClassOf(aItem), aItem.mTenant }] += 1 / aItem.mWeight;
-  for (const waiting& each : mWaiting) {
-    held[{ ClassOf(each.mItem), each.mItem.mTenant }] += 1 / each.mItem.mWeight;
+  const std::size_t own = ClassOf(aItem);
+  std::size_t index = kClasses - 1;
+  while (mClasses[index].mCount == 0 && index > own) {
+    --index;
   }
-  const auto key = [&](const admission_item& aEach) {
-    const std::size_t index = ClassOf(aEach);
-    return std::make_tuple(
-      index, held.at({ index, aEach.mTenant }), aEach.mDeadline);
-  };
-  auto worst = mWaiting.end();
-  auto worstKey = key(aItem);
-  for (auto each = mWaiting.begin(); each != mWaiting.end(); ++each) {
-    const auto eachKey = key(each->mItem);
-    if (eachKey > worstKey) {
-      worst = each;
-      worstKey = eachKey;
-    }
+  if (index < own || mClasses[index].mCount == 0) {
+    return nullptr;
   }
-  return worst;
+  const auto held = [&](const tenant_id& aTenant, const tenant_queue& aQueue) {
+    const bool joins = index == own && aTenant == aItem.mTenant;
+    const auto count = static_cast<double>(aQueue.mItems.size());
+    return (count + (joins ? 1 : 0)) / aQueue.mWeight;
+  };
+  const auto& tenants = mClasses[index].mTenants;
+  const auto worst = std::max_element(
+    tenants.begin(), tenants.end(), [&](const auto& aLeft, const auto& aRight) {
+      return held(aLeft.first, aLeft.second) <
+             held(aRight.first, aRight.second);
+    });
+  const admission_item& last = worst->second.mItems.rbegin()->second;
+  const bool sameTenant = worst->first == aItem.mTenant;
+  const bool newIsWorse =
+    index == own &&
+    (sameTenant ? aItem.mDeadline >= last.mDeadline
+                : 1 / aItem.mWeight >= held(worst->first, worst->second));
+  return newIsWorse ? nullptr : &last;
 }
 
 /** Items that would be served before aItem if it came now. */
 double
 admission_queue::Ahead(const admission_item& aItem) const
 {
+  const std::size_t index = ClassOf(aItem);
   double ahead = 0;
-  double own = 1;
-  std::map<model::tenant_id, std::pair<double, double>> others;
-  for (const waiting& each : mWaiting) {
-    const std::size_t index = ClassOf(each.mItem);
-    if (index < ClassOf(aItem)) {
-      ahead += 1;
-    } else if (index > ClassOf(aItem)) {
-      continue;
-    } else if (each.mItem.mTenant != aItem.mTenant) {
-      auto& [count, weight] = others[each.mItem.mTenant];
-      count += 1;
-      weight = each.mItem.mWeight;
-    } else if (each.mItem.mDeadline <= aItem.mDeadline) {
-      own += 1;
-    }
+  for (std::size_t above = 0; above < index; ++above) {
+    ahead += static_cast<double>(mClasses[above].mCount);
   }
-  for (const auto& [tenant, other] : others) {
-    const auto& [count, weight] = other;
-    ahead += std::min(count, own * weight / aItem.mWeight);
+  const auto& tenants = mClasses[index].mTenants;
+  const auto own = tenants.find(aItem.mTenant);
+  double before = 0;
+  if (own != tenants.end()) {
+    const auto& items = own->second.mItems;
+    const auto place = items.lower_bound({ aItem.mDeadline, mSequence + 1 });
+    before = static_cast<double>(std::distance(items.begin(), place));
   }
-  return ahead + own - 1;
+  for (const auto& [tenant, queue] : tenants) {
+    if (tenant != aItem.mTenant) {
+      const auto count = static_cast<double>(queue.mItems.size());
+      const double share = queue.mWeight / aItem.mWeight;
+      ahead += std::min(count, (before + 1) * share);
+    }
+  }
+  return ahead + before;
 }
 
 duration
@@ -171,30 +180,27 @@
   return WaitBehind(static_cast<double>(mWaiting.size()));
 }
 
-/** Whether a slot granted at aNow would be wasted on aItem. */
+/** Time that must be left at dispatch. */
+duration
+admission_queue::Needed() const
+{
+  return Fifo() ? duration(0) : mLimit.Service();
+}
+
+/** Whether a slot granted at aNow would be wasted. */
 bool
-admission_queue::TooLate(const admission_item& aItem, instant aNow) const
+admission_queue::TooLate(instant aDeadline, instant aNow) const
 {
-  const bool fifo = mSettings.mMode == admission_mode::Fifo;
-  const duration needed = fifo ? duration(0) : mLimit.Service();
-  return aNow + needed >= aItem.mDeadline;
+  return aNow + Needed() >= aDeadline;
 }
 
 std::optional<instant>
 admission_queue::NextWake() const
 {
-  if (mWaiting.empty()) {
+  if (mDeadlines.empty()) {
     return std::nullopt;
   }
-  const bool fifo = mSettings.mMode == admission_mode::Fifo;
-  const duration needed = fifo ? duration(0) : mLimit.Service();
-  const auto earliest =
-    std::min_element(mWaiting.begin(),
-                     mWaiting.end(),
-                     [](const waiting& aLeft, const waiting& aRight) {
-                       return aLeft.mItem.mDeadline < aRight.mItem.mDeadline;
-                     });
-  return earliest->mItem.mDeadline - needed;
+  return mDeadlines.begin()->first - Needed();
 }
 
 } // namespace monsooncroft::policy
--- a/src/policy/admission_queue_base.h
+++ b/src/policy/admission_queue_base.h
@@ -14,7 +14,8 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <vector>
+#include <unordered_map>
+#include <utility>
 
 namespace monsooncroft::policy {
 
@@ -36,12 +37,13 @@
    */
   explicit admission_queue(int aSlots, admission_settings aSettings = {});
 
+  /** An attempt asks for a slot; offered again, it changes nothing. */
   admission_effects Offer(const admission_item& aItem, model::instant aNow);
 
   /**
    * An attempt that held a slot has ended. Unknown attempts change nothing.
    * @param aAttempt The attempt.
-   * @param aOutcome How it ended.
+   * @param aOutcome How it ended; Error if it was cancelled while it ran.
    * @param aService Time from dispatch to the end.
    * @param aNow Present time.
    */
@@ -71,11 +73,14 @@
 private:
   static constexpr std::size_t kClasses = 3; ///< Values of model::urgency.
 
-  /** An item that waits. */
-  struct waiting
+  /** Place in a tenant's order: deadline, then arrival. */
+  using place = std::pair<model::instant, std::uint64_t>;
+
+  /** What one tenant has waiting in one class. */
+  struct tenant_queue
   {
-    admission_item mItem;
-    std::uint64_t mSequence = 0; ///< Order of arrival.
+    double mWeight = 1;
+    std::map<place, admission_item> mItems; ///< Never empty.
   };
 
   /** One class of urgency. */
@@ -86,31 +91,48 @@
     double mVirtualTime = 0; ///< Of the tenant served last.
     std::map<model::tenant_id, double> mUsed; ///< Virtual time by tenant;
                                               ///< only of tenants ahead.
+    std::map<model::tenant_id, tenant_queue> mTenants;
   };
 
-  using queue = std::vector<waiting>;
+  /** Where a waiting attempt is found. */
+  struct position
+  {
+    std::size_t mClass = 0;
+    model::tenant_id mTenant;
+    place mPlace;
+    model::instant mDeadline;
+  };
 
   void Fill(model::instant aNow, admission_effects& aOut);
+  void Dispatch(const admission_item& aItem,
+                model::instant aNow,
+                admission_effects& aOut);
   void Enqueue(const admission_item& aItem, model::instant aNow);
   bool MakeRoom(const admission_item& aItem, admission_effects& aOut);
   void ExpireWaiting(model::instant aNow, admission_effects& aOut);
-  void Take(queue::iterator aItem);
+  void Take(const model::attempt_id& aAttempt);
   void Charge(const admission_item& aItem, model::instant aNow);
-  queue::iterator Best(model::instant aNow);
-  queue::iterator Worst(const admission_item& aItem);
+  const admission_item& Best(model::instant aNow) const;
+  const admission_item* Worst(const admission_item& aItem) const;
   std::size_t BestClass(model::instant aNow) const;
-  bool GoesBefore(const waiting& aLeft, const waiting& aRight) const;
   double Ahead(const admission_item& aItem) const;
-  double Used(const admission_item& aItem) const;
-  bool TooLate(const admission_item& aItem, model::instant aNow) const;
+  double Used(const urgency_class& aClass,
+              const model::tenant_id& aTenant) const;
+  bool TooLate(model::instant aDeadline, model::instant aNow) const;
+  model::duration Needed() const;
   model::duration WaitBehind(double aAhead) const;
-  static std::size_t ClassOf(const admission_item& aItem);
+  bool Fifo() const { return mSettings.mMode == admission_mode::Fifo; }
+  std::size_t ClassOf(const admission_item& aItem) const;
+  model::tenant_id TenantOf(const admission_item& aItem) const;
 
   admission_settings mSettings;
   slot_limit mLimit;
-  queue mWaiting; ///< In order of arrival.
-  std::set<model::attempt_id> mRunning;
+  std::unordered_map<model::attempt_id, int>
+    mRunning; ///< With how many ran when it began, itself counted.
   std::array<urgency_class, kClasses> mClasses;
+  std::unordered_map<model::attempt_id, position> mWaiting;
+  std::set<std::pair<model::instant, model::attempt_id>>
+    mDeadlines; ///< Of what waits.
   std::uint64_t mSequence = 0;
   bool mDraining = false;
 };
--- a/src/policy/admission_queue_cmd.cpp
+++ b/src/policy/admission_queue_cmd.cpp
@@ -10,6 +10,7 @@
 
 using model::attempt_id;
 using model::instant;
+using model::tenant_id;
 
 namespace {
 
@@ -27,6 +28,10 @@
 admission_queue::Offer(const admission_item& aItem, instant aNow)
 {
   admission_effects out;
+  if (mWaiting.count(aItem.mAttempt) != 0 ||
+      mRunning.count(aItem.mAttempt) != 0) {
+    return out; // Offered twice: the first offer stands.
+  }
   admission_item item = aItem;
   item.mWeight = std::max(kLeastWeight, aItem.mWeight);
   if (mDraining) {
@@ -36,17 +41,15 @@
   // An idle leaf takes anything not yet late, so that a service estimate
   // that is too high can be corrected.
   const bool idle = mRunning.empty() && mWaiting.empty();
-  const bool fifo = mSettings.mMode == admission_mode::Fifo;
-  const instant start = idle || fifo ? aNow : aNow + EstimatedWait(item);
-  const bool late = idle ? aNow >= item.mDeadline : TooLate(item, start);
+  const instant start = Fifo() ? aNow : aNow + EstimatedWait(item);
+  const bool late =
+    idle ? aNow >= item.mDeadline : TooLate(item.mDeadline, start);
   if (late) {
     out.emplace_back(refuse_effect{ item.mAttempt, refusal::TooLate });
     return out;
   }
   if (idle) {
-    Charge(item, aNow);
-    mRunning.insert(item.mAttempt);
-    out.emplace_back(dispatch_effect{ item.mAttempt });
+    Dispatch(item, aNow, out);
     return out;
   }
   ExpireWaiting(aNow, out);
@@ -64,10 +67,12 @@
                         instant aNow)
 {
   admission_effects out;
-  if (mRunning.erase(aAttempt) == 0) {
+  const auto running = mRunning.find(aAttempt);
+  if (running == mRunning.end()) {
     return out;
   }
-  mLimit.OnDone(aOutcome, aService, aNow);
+  mLimit.OnDone(aOutcome, aService, running->second);
+  mRunning.erase(running);
   ExpireWaiting(aNow, out);
   Fill(aNow, out);
   return out;
@@ -77,12 +82,8 @@
 admission_queue::OnCancel(const attempt_id& aAttempt)
 {
   admission_effects out;
-  const auto found =
-    std::find_if(mWaiting.begin(), mWaiting.end(), [&](const waiting& aEntry) {
-      return aEntry.mItem.mAttempt == aAttempt;
-    });
-  if (found != mWaiting.end()) {
-    Take(found);
+  if (mWaiting.count(aAttempt) != 0) {
+    Take(aAttempt);
     out.emplace_back(refuse_effect{ aAttempt, refusal::Cancelled });
   }
   return out;
@@ -102,9 +103,9 @@
 {
   admission_effects out;
   mDraining = aDraining;
-  while (mDraining && !mWaiting.empty()) {
-    const attempt_id attempt = mWaiting.front().mItem.mAttempt;
-    Take(mWaiting.begin());
+  while (mDraining && !mDeadlines.empty()) {
+    const attempt_id attempt = mDeadlines.begin()->second;
+    Take(attempt);
     out.emplace_back(refuse_effect{ attempt, refusal::Draining });
   }
   return out;
@@ -124,28 +125,42 @@
 {
   const auto slots = static_cast<std::size_t>(mLimit.Slots());
   while (!mWaiting.empty() && mRunning.size() < slots) {
-    const auto best = Best(aNow);
-    const admission_item item = best->mItem;
-    Take(best);
-    if (TooLate(item, aNow)) {
+    const admission_item item = Best(aNow);
+    Take(item.mAttempt);
+    if (TooLate(item.mDeadline, aNow)) {
       aOut.emplace_back(refuse_effect{ item.mAttempt, refusal::TooLate });
       continue;
     }
-    Charge(item, aNow);
-    mRunning.insert(item.mAttempt);
-    aOut.emplace_back(dispatch_effect{ item.mAttempt });
+    Dispatch(item, aNow, aOut);
   }
 }
 
+void
+admission_queue::Dispatch(const admission_item& aItem,
+                          instant aNow,
+                          admission_effects& aOut)
+{
+  Charge(aItem, aNow);
+  mRunning.emplace(aItem.mAttempt, static_cast<int>(mRunning.size()) + 1);
+  aOut.emplace_back(dispatch_effect{ aItem.mAttempt });
+}
+
 void
 admission_queue::Enqueue(const admission_item& aItem, instant aNow)
 {
-  urgency_class& own = mClasses[ClassOf(aItem)];
+  const std::size_t index = ClassOf(aItem);
+  urgency_class& own = mClasses[index];
   if (own.mCount == 0) {
     own.mServed = aNow;
   }
   ++own.mCount;
-  mWaiting.push_back(waiting{ aItem, ++mSequence });
+  const place at{ Fifo() ? instant() : aItem.mDeadline, ++mSequence };
+  tenant_queue& queue = own.mTenants[TenantOf(aItem)];
+  queue.mWeight = aItem.mWeight;
+  queue.mItems.emplace(at, aItem);
+  mWaiting.emplace(aItem.mAttempt,
+                   position{ index, TenantOf(aItem), at, aItem.mDeadline });
+  mDeadlines.emplace(aItem.mDeadline, aItem.mAttempt);
 }
 
 bool
@@ -154,14 +169,13 @@
   if (mWaiting.size() < mSettings.mQueueLimit) {
     return true;
   }
-  const bool fifo = mSettings.mMode == admission_mode::Fifo;
-  const auto worst = fifo ? mWaiting.end() : Worst(aItem);
-  if (worst == mWaiting.end()) {
+  const admission_item* const worst = Fifo() ? nullptr : Worst(aItem);
+  if (worst == nullptr) {
     aOut.emplace_back(refuse_effect{ aItem.mAttempt, refusal::QueueFull });
     return false;
   }
-  const attempt_id evicted = worst->mItem.mAttempt;
-  Take(worst);
+  const attempt_id evicted = worst->mAttempt;
+  Take(evicted);
   aOut.emplace_back(refuse_effect{ evicted, refusal::Evicted });
   return true;
 }
@@ -169,24 +183,28 @@
 void
 admission_queue::ExpireWaiting(instant aNow, admission_effects& aOut)
 {
-  for (auto each = mWaiting.begin(); each != mWaiting.end();) {
-    if (!TooLate(each->mItem, aNow)) {
-      ++each;
-      continue;
-    }
-    const attempt_id late = each->mItem.mAttempt;
-    const auto index = each - mWaiting.begin();
-    Take(each);
-    each = mWaiting.begin() + index;
+  while (!mDeadlines.empty() && TooLate(mDeadlines.begin()->first, aNow)) {
+    const attempt_id late = mDeadlines.begin()->second;
+    Take(late);
     aOut.emplace_back(refuse_effect{ late, refusal::TooLate });
   }
 }
 
+/** Removes an attempt from the queue. @pre It waits. */
 void
-admission_queue::Take(queue::iterator aItem)
+admission_queue::Take(const attempt_id& aAttempt)
 {
-  --mClasses[ClassOf(aItem->mItem)].mCount;
-  mWaiting.erase(aItem);
+  const auto found = mWaiting.find(aAttempt);
+  const position& at = found->second;
+  urgency_class& own = mClasses[at.mClass];
+  const auto queue = own.mTenants.find(at.mTenant);
+  queue->second.mItems.erase(at.mPlace);
+  if (queue->second.mItems.empty()) {
+    own.mTenants.erase(queue);
+  }
+  --own.mCount;
+  mDeadlines.erase({ at.mDeadline, found->first });
+  mWaiting.erase(found);
 }
 
 /** Counts a dispatch against the tenant's share of its class. */
@@ -194,10 +212,11 @@
 admission_queue::Charge(const admission_item& aItem, instant aNow)
 {
   urgency_class& own = mClasses[ClassOf(aItem)];
-  const double start = Used(aItem);
+  const tenant_id tenant = TenantOf(aItem);
+  const double start = Used(own, tenant);
   own.mServed = aNow;
   own.mVirtualTime = std::max(own.mVirtualTime, start);
-  own.mUsed[aItem.mTenant] = start + 1 / aItem.mWeight;
+  own.mUsed[tenant] = start + 1 / aItem.mWeight;
   std::erase_if(own.mUsed, [&](const auto& aEntry) {
     return aEntry.second <= own.mVirtualTime;
   });
--- a/src/policy/slot_limit.cpp
+++ b/src/policy/slot_limit.cpp
@@ -10,104 +10,131 @@
 
 using model::attempt_outcome;
 using model::duration;
-using model::instant;
 
 namespace {
 
-constexpr double kSmoothing = 1.0 / 16; ///< Weight of a new sample.
-constexpr double kSlowRatio = 2.0;      ///< Of the floor: the leaf is slow.
-constexpr double kDecrease = 0.75;      ///< Factor of one decrease.
-constexpr double kIncrease = 0.1;       ///< Slots won by one normal request.
-constexpr int kDecreasePause = 8; ///< Service times between two decreases.
-constexpr duration kFloorWindow = std::chrono::seconds(10);
+constexpr int kServiceLength = 32; ///< Samples behind the overall estimate.
+constexpr int kLevelLength = 128;  ///< Samples behind a level's estimate.
+constexpr int kLeastSamples = 48;  ///< Fewer say nothing of a level.
+constexpr int kStaleSamples = 8;   ///< What an estimate counts that was left.
+constexpr double kClearGain = 1.3; ///< Throughput that is worth a move.
+constexpr int kLeastPause = 64;    ///< Ends between two moves.
+constexpr int kMostPause = 2048;   ///< Ends until a failed probe is repeated.
 
 } // namespace
 
+void
+slot_limit::level::Add(double aService, int aLength)
+{
+  mSamples = std::min(mSamples + 1, aLength);
+  mService += (aService - mService) / mSamples;
+}
+
 slot_limit::slot_limit(int aDeclared, duration aGuess, bool aAdaptive)
   : mDeclared(std::max(1, aDeclared))
   , mAdaptive(aAdaptive)
   , mLimit(mDeclared)
-  , mService(static_cast<double>(aGuess.count()))
+  , mAll{ static_cast<double>(aGuess.count()), 0 }
+  , mLevels(static_cast<std::size_t>(mDeclared))
+  , mProbePause(kLeastPause)
 {
 }
 
 void
 slot_limit::SetDeclared(int aDeclared)
 {
-  const bool untouched = mLimit >= mDeclared;
+  const bool untouched = mLimit == mDeclared;
   mDeclared = std::max(1, aDeclared);
-  mLimit = untouched ? mDeclared : std::min<double>(mLimit, mDeclared);
+  mLevels.resize(static_cast<std::size_t>(mDeclared));
+  mLimit = untouched ? mDeclared : std::min(mLimit, mDeclared);
 }
 
-int
-slot_limit::Slots() const
+duration
+slot_limit::Service() const
 {
-  return mAdaptive ? std::max(1, static_cast<int>(mLimit)) : mDeclared;
+  return duration(static_cast<duration::rep>(mAll.mService));
 }
 
-duration
-slot_limit::Service() const
+double
+slot_limit::Throughput(int aTogether) const
 {
-  return duration(static_cast<duration::rep>(mService));
+  const level& at = mLevels[static_cast<std::size_t>(aTogether) - 1];
+  const bool known = at.mSamples > 0 && at.mService > 0;
+  return known ? aTogether / at.mService : 0;
 }
 
 void
-slot_limit::OnDone(attempt_outcome aOutcome, duration aService, instant aNow)
+slot_limit::OnDone(attempt_outcome aOutcome, duration aService, int aTogether)
 {
+  const auto service = static_cast<double>(aService.count());
+  const int together = std::clamp(aTogether, 1, mDeclared);
+  ++mSinceMove;
   switch (aOutcome) {
     case attempt_outcome::Ok:
-      Sample(static_cast<double>(aService.count()), aNow);
-      if (mService > kSlowRatio * Floor()) {
-        Decrease(aNow);
-      } else {
-        mLimit = std::min<double>(mDeclared, mLimit + kIncrease);
+      Sample(service, together);
+      break;
+    case attempt_outcome::Error:
+      // Given up after so long: left out, only fast runs would be seen.
+      if (service > mAll.mService) {
+        Sample(service, together);
       }
       break;
     case attempt_outcome::Refused:
     case attempt_outcome::Lost:
-      Decrease(aNow);
+      Decrease();
       break;
     case attempt_outcome::NotSent:
     case attempt_outcome::NotHeld:
-    case attempt_outcome::Error:
       break; // They say nothing of the leaf's load.
   }
 }
 
 void
-slot_limit::Sample(double aService, instant aNow)
+slot_limit::Sample(double aService, int aTogether)
+{
+  mAll.Add(aService, kServiceLength);
+  mLevels[static_cast<std::size_t>(aTogether) - 1].Add(aService, kLevelLength);
+  Adapt();
+}
+
+void
+slot_limit::Adapt()
 {
-  if (!mSampled) {
-    mSampled = true;
-    mService = aService;
-    mFloor = aService;
-    mWindow = aNow;
+  const level& present = mLevels[static_cast<std::size_t>(mLimit) - 1];
+  if (present.mSamples < kLeastSamples || mSinceMove < kLeastPause) {
     return;
   }
-  mService += kSmoothing * (aService - mService);
-  if (aNow - mWindow >= kFloorWindow) {
-    mLastFloor = mFloor;
-    mFloor = mService;
-    mWindow = aNow;
+  int best = mLimit;
+  for (int each = 1; each <= mDeclared; ++each) {
+    if (Throughput(each) > Throughput(best)) {
+      best = each;
+    }
+  }
+  if (Throughput(best) > kClearGain * Throughput(mLimit)) {
+    // A probe that failed is not repeated soon.
+    mProbePause =
+      best < mLimit ? std::min(2 * mProbePause, kMostPause) : kLeastPause;
+    MoveTo(best);
+  } else if (mLimit < mDeclared && mSinceMove >= mProbePause) {
+    MoveTo(mLimit + 1);
   }
-  mFloor = std::min(mFloor, mService);
 }
 
-double
-slot_limit::Floor() const
+void
+slot_limit::MoveTo(int aLimit)
 {
-  return mLastFloor > 0 ? std::min(mFloor, mLastFloor) : mFloor;
+  mLimit = aLimit;
+  mSinceMove = 0;
+  level& next = mLevels[static_cast<std::size_t>(aLimit) - 1];
+  next.mSamples = std::min(next.mSamples, kStaleSamples);
 }
 
 void
-slot_limit::Decrease(instant aNow)
+slot_limit::Decrease()
 {
-  const duration pause = Service() * kDecreasePause;
-  if (mDecreased && aNow - *mDecreased < pause) {
-    return;
+  if (mLimit > 1 && mSinceMove >= kLeastPause) {
+    MoveTo(mLimit - 1);
   }
-  mDecreased = aNow;
-  mLimit = std::max(1.0, mLimit * kDecrease);
 }
 
 } // namespace monsooncroft::policy
--- a/src/policy/slot_limit_base.h
+++ b/src/policy/slot_limit_base.h
@@ -8,15 +8,20 @@
 #include "model/attempt_type.h"
 #include "model/time_type.h"
 
-#include <optional>
+#include <vector>
 
 namespace monsooncroft::policy {
 
 /**
- * Additive increase, multiplicative decrease of a leaf's slots: down when the
- * smoothed service time is far above its recent floor or the leaf sheds, up
- * again with each request served at a normal pace; never above the declared
- * slots and never below one.
+ * Adapts a leaf's slots to what it can run at one time, between one and the
+ * declared slots.
+ *
+ * The service time is tracked for each number of requests that ran together;
+ * that number over its service time is the throughput there. The limit moves
+ * to another number only if that one's throughput is clearly greater, so a
+ * leaf that is slow whatever runs there keeps its slots, and a crowded one
+ * loses some. A refusal or a loss takes one slot away. Slots come back one by
+ * one, each on probation.
  */
 class slot_limit
 {
@@ -32,31 +37,40 @@
 
   /**
    * Learns from an attempt's end.
-   * @param aOutcome How it ended.
-   * @param aService Time from send to answer.
-   * @param aNow Present time.
+   * @param aOutcome How it ended; Error if it was cancelled while it ran.
+   * @param aService Time from send to its end.
+   * @param aTogether Requests that ran when it began, with it.
    */
   void OnDone(model::attempt_outcome aOutcome,
               model::duration aService,
-              model::instant aNow);
+              int aTogether);
 
-  int Slots() const; ///< At least one, at most the declared slots.
+  int Slots() const { return mAdaptive ? mLimit : mDeclared; }
   model::duration Service() const; ///< Smoothed service time.
 
 private:
-  void Sample(double aService, model::instant aNow);
-  void Decrease(model::instant aNow);
-  double Floor() const;
+  /** What is known of one number of requests that run together. */
+  struct level
+  {
+    double mService = 0; ///< Smoothed service time, microseconds.
+    int mSamples = 0;    ///< Behind it, up to the smoothing's length.
+
+    void Add(double aService, int aLength);
+  };
+
+  void Sample(double aService, int aTogether);
+  void Adapt();
+  void MoveTo(int aLimit);
+  void Decrease();
+  double Throughput(int aTogether) const;
 
   int mDeclared;
   bool mAdaptive;
-  double mLimit;          ///< Slots in use, fractional between steps.
-  double mService;        ///< Smoothed service time, microseconds.
-  bool mSampled = false;  ///< mService comes from the leaf, not the guess.
-  double mFloor = 0;      ///< Least mService of the running window.
-  double mLastFloor = 0;  ///< Least mService of the window before; 0: none.
-  model::instant mWindow; ///< Start of the running window.
-  std::optional<model::instant> mDecreased; ///< Last decrease.
+  int mLimit;                 ///< Slots in use.
+  level mAll;                 ///< Over every number.
+  std::vector<level> mLevels; ///< By number of requests, less one.
+  int mSinceMove = 0;         ///< Ends since the limit changed.
+  int mProbePause;            ///< Ends until the next slot is tried again.
 };
 
 } // namespace monsooncroft::policy
--- /dev/null
+++ b/test/policy/fixed_seed.h
@@ -0,0 +1,22 @@
+/**
+ * @file fixed_seed.h
+ * Property tests that run the same cases each time.
+ */
+#ifndef MONSOONCROFT_TEST_POLICY_FIXED_SEED_H
+#define MONSOONCROFT_TEST_POLICY_FIXED_SEED_H
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdlib>
+
+namespace monsooncroft::policy {
+
+/** Set before the library reads its parameters; the environment goes first. */
+inline const int kSeedIsSet =
+  setenv("RC_PARAMS", "seed=20260304 max_success=3000", 0);
+
+} // namespace monsooncroft::policy
+
+#endif
--- /dev/null
+++ b/test/policy/load_test.cpp
@@ -0,0 +1,131 @@
+/**
+ * @file load_test.cpp
+ * The policy under load in virtual time. Each test prints what it saw.
+ */
+#include "test/policy/virtual_load.h"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+namespace monsooncroft::policy {
+namespace {
+
+using namespace std::chrono_literals;
+
+load_result
+Measure(const std::string& aName, const load_settings& aSettings)
+{
+  const load_result out = RunLoad(aSettings);
+  std::cout << Row(aName, out);
+  return out;
+}
+
+std::string
+Name(const char* aName, double aLoad)
+{
+  return std::string(aName) + " load " + std::to_string(aLoad).substr(0, 4);
+}
+
+TEST(load, goodput_holds_beyond_capacity)
+{
+  double peak = 0;
+  double twice = 0;
+  for (const double load : { 0.7, 0.9, 1.1, 1.5, 2.0, 4.0 }) {
+    load_settings settings;
+    settings.mLoad = load;
+    const double goodput = Measure(Name("weighted", load), settings).mGoodput;
+    peak = std::max(peak, goodput);
+    twice = load == 2.0 ? goodput : twice;
+    settings.mAdmission.mMode = admission_mode::Fifo;
+    Measure(Name("fifo", load), settings);
+  }
+  EXPECT_GE(twice, 0.9 * peak);
+}
+
+TEST(load, urgent_goes_first_and_browsing_does_not_starve)
+{
+  for (const int step : { 10, 20, 40, 80, 100'000 }) {
+    load_settings settings;
+    settings.mLoad = 1.3;
+    settings.mUrgent = 0.8;
+    settings.mAdmission.mAgeingStep = std::chrono::milliseconds(step);
+    const load_result out =
+      Measure("ageing step " + std::to_string(step) + " ms", settings);
+    if (step == 40) {
+      EXPECT_GT(out.mClasses[0].GoodPart(), 0.85);
+      EXPECT_GT(out.mClasses[1].mGood, 60 * 5); // Of each second, some.
+    }
+  }
+}
+
+TEST(load, flooding_tenant_takes_nothing_from_another)
+{
+  load_settings alone;
+  alone.mLoad = 0.2;
+  const load_result quiet = Measure("small tenant alone", alone);
+  load_settings flooded;
+  flooded.mLoad = 2.0;
+  flooded.mTenants = { { "small", 0.1, 1 }, { "flood", 0.9, 1 } };
+  const load_result weighted = Measure("flooded", flooded);
+  flooded.mAdmission.mMode = admission_mode::Fifo;
+  const load_result fifo = Measure("flooded, fifo", flooded);
+  const auto small = [](const load_result& aResult) {
+    const load_count& out = aResult.mTenants.at("small");
+    std::cout << "  small tenant: " << 100 * out.GoodPart() << "% good\n";
+    return out.GoodPart();
+  };
+  EXPECT_GT(small(weighted), 0.97);
+  EXPECT_LT(small(fifo), 0.8);
+  EXPECT_GT(quiet.mClasses[0].GoodPart(), 0.99);
+}
+
+TEST(load, hedges_cut_the_tail_within_their_budget)
+{
+  for (const double load : { 0.3, 0.5, 0.7, 0.85 }) {
+    load_settings settings;
+    settings.mShards = 16;
+    settings.mReplicas = 2;
+    settings.mLoad = load;
+    settings.mSlow = 0.03;
+    settings.mDeadlines = { 1000ms, 2000ms };
+    settings.mLength = 30s;
+    const load_result none = Measure(Name("no hedge", load), settings);
+    settings.mHedge = hedge_mode::Fixed;
+    Measure(Name("30 ms", load), settings);
+    settings.mHedge = hedge_mode::Quantile;
+    const load_result hedged = Measure(Name("p95", load), settings);
+    EXPECT_LE(hedged.mExtraSends, 0.055);
+    if (load <= 0.5) {
+      EXPECT_LT(hedged.mClasses[0].Millis(0.99), none.mClasses[0].Millis(0.99));
+    }
+  }
+}
+
+TEST(load, crowded_leaf_gets_fewer_slots_and_a_slow_one_keeps_them)
+{
+  const auto run = [](int aCrowdedSlots, double aSlowdown, bool aAdaptive) {
+    load_settings settings;
+    settings.mSlots = 6;
+    settings.mLoad = 0.6;
+    settings.mSlow = 0.03;
+    settings.mCrowdedFrom = 10s;
+    settings.mCrowdedSlots = aCrowdedSlots;
+    settings.mSlowdown = aSlowdown;
+    settings.mAdmission.mAdaptive = aAdaptive;
+    return Measure((aAdaptive ? "adaptive, " : "declared, ") +
+                     std::to_string(aCrowdedSlots) + " slots, time x " +
+                     std::to_string(aSlowdown).substr(0, 3),
+                   settings);
+  };
+  for (const int crowded : { 0, 3, 2 }) {
+    const double fixed = run(crowded, 1, false).mGoodput;
+    const double adaptive = run(crowded, 1, true).mGoodput;
+    EXPECT_GE(adaptive, (crowded > 0 ? 1.2 : 0.98) * fixed);
+  }
+  const double fixed = run(0, 4, false).mGoodput;
+  EXPECT_GE(run(0, 4, true).mGoodput, 0.95 * fixed);
+}
+
+} // namespace
+} // namespace monsooncroft::policy
--- /dev/null
+++ b/test/policy/virtual_load.cpp
@@ -0,0 +1,404 @@
+/**
+ * @file virtual_load.cpp
+ * Open-loop load in virtual time.
+ */
+#include "test/policy/virtual_load.h"
+
+#include "policy/admission_queue_base.h"
+#include "policy/fanout_base.h"
+#include "policy/hedge_budget_base.h"
+#include "policy/hedge_delay_base.h"
+#include "policy/replica_chooser_base.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <queue>
+
+namespace monsooncroft::policy {
+
+namespace {
+
+using model::attempt_id;
+using model::attempt_outcome;
+using model::duration;
+using model::instant;
+using seconds = std::chrono::duration<double>;
+
+/** A leaf's queue and what runs there. */
+struct leaf_sim
+{
+  leaf_sim(int aSlots, const admission_settings& aSettings)
+    : mQueue(aSlots, aSettings)
+  {
+  }
+
+  admission_queue mQueue;
+  std::map<attempt_id, instant> mRunning; ///< With their dispatch times.
+  std::optional<instant> mTimer;          ///< A timer event is under way.
+};
+
+/** An attempt and whose it is. */
+struct attempt_sim
+{
+  std::size_t mQuery = 0;
+  model::shard_id mShard;
+  std::size_t mLeaf = 0;
+  instant mSent;
+};
+
+/** A query under way. */
+struct query_sim
+{
+  std::unique_ptr<fanout> mFanout;
+  instant mArrived;
+  std::size_t mClass = 0;
+  std::size_t mTenant = 0;
+};
+
+class simulation
+{
+public:
+  explicit simulation(const load_settings& aSettings)
+    : mSettings(aSettings)
+    , mRandom(aSettings.mSeed)
+    , mChooser(static_cast<std::uint32_t>(aSettings.mSeed))
+    , mBudget(aSettings.mBudget)
+    , mQuantile(mTracker, std::chrono::milliseconds(5))
+  {
+    for (int leaf = 0; leaf < aSettings.mShards * aSettings.mReplicas; ++leaf) {
+      mLeaves.emplace_back(aSettings.mSlots, aSettings.mAdmission);
+    }
+  }
+
+  load_result Run()
+  {
+    Arrive();
+    while (!mEvents.empty()) {
+      const event next = mEvents.top();
+      mEvents.pop();
+      mNow = next.mAt;
+      next.mDo();
+    }
+    for (auto& each : mResult.mClasses) {
+      std::sort(each.mLatencies.begin(), each.mLatencies.end());
+      mResult.mGoodput += each.mGood / seconds(mSettings.mLength).count();
+    }
+    mResult.mExtraSends = mFirst == 0 ? 0 : mExtra / mFirst;
+    mResult.mWasted = mBusy == 0 ? 0 : mWasted / mBusy;
+    return mResult;
+  }
+
+private:
+  struct event
+  {
+    instant mAt;
+    std::uint64_t mOrder;
+    std::function<void()> mDo;
+    bool operator<(const event& aOther) const
+    {
+      return std::tie(mAt, mOrder) > std::tie(aOther.mAt, aOther.mOrder);
+    }
+  };
+
+  void At(instant aAt, std::function<void()> aDo)
+  {
+    mEvents.push({ std::max(aAt, mNow), ++mOrder, std::move(aDo) });
+  }
+
+  double Uniform() { return std::uniform_real_distribution<>(0, 1)(mRandom); }
+
+  duration Exponential(double aMicros)
+  {
+    return duration(1 + std::llround(-std::log(1 - Uniform()) * aMicros));
+  }
+
+  double MeanService() const
+  {
+    const double slow = 1 + mSettings.mSlow * (mSettings.mSlowFactor - 1);
+    return static_cast<double>(mSettings.mService.count()) * slow;
+  }
+
+  void Arrive()
+  {
+    if (mNow >= instant(mSettings.mLength)) {
+      return;
+    }
+    const double slots = mSettings.mSlots * mSettings.mReplicas;
+    At(mNow + Exponential(MeanService() / slots / mSettings.mLoad),
+       [this] { Arrive(); });
+    Begin();
+  }
+
+  void Begin()
+  {
+    const std::size_t id = mQueries.size();
+    query_sim& query = mQueries.emplace_back();
+    query.mArrived = mNow;
+    query.mClass = Uniform() < mSettings.mUrgent ? 0 : 1;
+    double draw = Uniform();
+    while (query.mTenant + 1 < mSettings.mTenants.size() &&
+           draw >= mSettings.mTenants[query.mTenant].mPart) {
+      draw -= mSettings.mTenants[query.mTenant].mPart;
+      ++query.mTenant;
+    }
+    fanout_plan plan;
+    plan.mUrgency =
+      query.mClass == 0 ? model::urgency::Urgent : model::urgency::Browsing;
+    plan.mDeadline = mNow + mSettings.mDeadlines[query.mClass];
+    plan.mAttemptPrefix = std::to_string(id) + ".";
+    for (int shard = 0; shard < mSettings.mShards; ++shard) {
+      plan.mShards.push_back(
+        { model::shard_id(std::to_string(shard)), Candidates(shard) });
+    }
+    query.mFanout = std::make_unique<fanout>(
+      plan, Hedge(), mBudget, static_cast<std::uint32_t>(id + 1));
+    Apply(id, query.mFanout->Start(mNow));
+  }
+
+  const hedge_policy& Hedge() const
+  {
+    switch (mSettings.mHedge) {
+      case hedge_mode::None:
+        break;
+      case hedge_mode::Fixed:
+        return mFixed;
+      case hedge_mode::Quantile:
+        return mQuantile;
+    }
+    return mNone;
+  }
+
+  std::vector<target_id> Candidates(int aShard)
+  {
+    std::vector<replica_state> states;
+    for (int each = 0; each < mSettings.mReplicas; ++each) {
+      const int leaf = aShard * mSettings.mReplicas + each;
+      replica_state state;
+      state.mTarget = target_id(std::to_string(leaf));
+      state.mEstimatedWait = mLeaves[leaf].mQueue.EstimatedWait();
+      states.push_back(state);
+    }
+    return mChooser.Order(states);
+  }
+
+  void Apply(std::size_t aQuery, const fanout_effects& aEffects)
+  {
+    for (const fanout_effect& effect : aEffects) {
+      if (const auto* send = std::get_if<send_effect>(&effect)) {
+        ++(send->mExtra ? mExtra : mFirst);
+        Offer(aQuery, *send);
+      } else if (const auto* cancel = std::get_if<cancel_effect>(&effect)) {
+        Cancel(cancel->mAttempt, std::stoul(cancel->mTarget.Value()));
+      } else {
+        Finish(aQuery);
+      }
+    }
+    const auto wake = mQueries[aQuery].mFanout->NextWake();
+    if (wake) {
+      At(*wake, [this, aQuery, at = *wake] {
+        fanout* run = mQueries[aQuery].mFanout.get();
+        if (run != nullptr && run->NextWake() && *run->NextWake() <= at) {
+          Apply(aQuery, run->OnTimer(mNow));
+        }
+      });
+    }
+  }
+
+  /** A message to the owner: after the present event, in no time. */
+  void Offer(std::size_t aQuery, const send_effect& aSend)
+  {
+    const std::size_t leaf = std::stoul(aSend.mTarget.Value());
+    mAttempts[aSend.mAttempt] = { aQuery, aSend.mShard, leaf, mNow };
+    At(mNow, [this, aQuery, leaf, attempt = aSend.mAttempt] {
+      if (mAttempts.count(attempt) == 0) {
+        return;
+      }
+      const query_sim& query = mQueries[aQuery];
+      const tenant_load& tenant = mSettings.mTenants[query.mTenant];
+      admission_item item;
+      item.mAttempt = attempt;
+      item.mUrgency = query.mFanout->Plan().mUrgency;
+      item.mTenant = model::tenant_id(tenant.mName);
+      item.mWeight = tenant.mWeight;
+      item.mDeadline = query.mFanout->Plan().mDeadline;
+      ApplyLeaf(leaf, mLeaves[leaf].mQueue.Offer(item, mNow));
+    });
+  }
+
+  void ApplyLeaf(std::size_t aLeaf, const admission_effects& aEffects)
+  {
+    leaf_sim& leaf = mLeaves[aLeaf];
+    for (const admission_effect& effect : aEffects) {
+      if (const auto* sent = std::get_if<dispatch_effect>(&effect)) {
+        leaf.mRunning.emplace(sent->mAttempt, mNow);
+        At(mNow + ServiceTime(aLeaf), [this, aLeaf, id = sent->mAttempt] {
+          EndRun(aLeaf, id, attempt_outcome::Ok);
+        });
+      } else {
+        Deliver(std::get<refuse_effect>(effect).mAttempt,
+                attempt_outcome::Refused);
+      }
+    }
+    const auto wake = leaf.mQueue.NextWake();
+    if (wake && (!leaf.mTimer || *wake < *leaf.mTimer)) {
+      leaf.mTimer = wake;
+      At(*wake, [this, aLeaf] {
+        mLeaves[aLeaf].mTimer.reset();
+        ApplyLeaf(aLeaf, mLeaves[aLeaf].mQueue.OnTimer(mNow));
+      });
+    }
+  }
+
+  duration ServiceTime(std::size_t aLeaf)
+  {
+    double mean = static_cast<double>(mSettings.mService.count());
+    mean *= Uniform() < mSettings.mSlow ? mSettings.mSlowFactor : 1;
+    const bool late = aLeaf == 0 && mNow >= instant(mSettings.mCrowdedFrom);
+    mean *= late ? mSettings.mSlowdown : 1;
+    if (late && mSettings.mCrowdedSlots > 0) {
+      const auto running = static_cast<double>(mLeaves[0].mRunning.size());
+      const double excess = running / mSettings.mCrowdedSlots;
+      mean *= std::max(1.0, excess * excess);
+    }
+    return Exponential(mean);
+  }
+
+  void EndRun(std::size_t aLeaf, attempt_id aAttempt, attempt_outcome aOutcome)
+  {
+    leaf_sim& leaf = mLeaves[aLeaf];
+    const auto running = leaf.mRunning.find(aAttempt);
+    if (running == leaf.mRunning.end()) {
+      return; // Cancelled meanwhile.
+    }
+    const duration service = mNow - running->second;
+    leaf.mRunning.erase(running);
+    const bool wanted =
+      aOutcome == attempt_outcome::Ok && mAttempts.count(aAttempt) != 0;
+    mBusy += seconds(service).count();
+    mWasted += wanted ? 0 : seconds(service).count();
+    ApplyLeaf(aLeaf, leaf.mQueue.OnDone(aAttempt, aOutcome, service, mNow));
+    Deliver(aAttempt, aOutcome);
+  }
+
+  void Deliver(const attempt_id& aAttempt, attempt_outcome aOutcome)
+  {
+    const auto found = mAttempts.find(aAttempt);
+    if (found == mAttempts.end()) {
+      return;
+    }
+    const attempt_sim attempt = found->second;
+    mAttempts.erase(found);
+    if (aOutcome == attempt_outcome::Ok) {
+      mTracker.Add(mNow - attempt.mSent, mNow);
+    }
+    model::attempt_result result;
+    result.mAttempt = aAttempt;
+    result.mShard = attempt.mShard;
+    result.mOutcome = aOutcome;
+    Apply(attempt.mQuery,
+          mQueries[attempt.mQuery].mFanout->OnResult(result, mNow));
+  }
+
+  /** The leaf honours it at once; a run that stops early is no sample. */
+  void Cancel(const attempt_id& aAttempt, std::size_t aLeaf)
+  {
+    const auto found = mAttempts.find(aAttempt);
+    mTracker.Add(mNow - found->second.mSent, mNow);
+    mAttempts.erase(found);
+    At(mNow, [this, aLeaf, aAttempt] {
+      ApplyLeaf(aLeaf, mLeaves[aLeaf].mQueue.OnCancel(aAttempt));
+      EndRun(aLeaf, aAttempt, attempt_outcome::Error);
+    });
+  }
+
+  void Finish(std::size_t aQuery)
+  {
+    const query_sim& query = mQueries[aQuery];
+    At(mNow, [this, aQuery] { mQueries[aQuery].mFanout.reset(); });
+    const fanout_report report = query.mFanout->Report();
+    const auto answered = std::count_if(
+      report.mShards.begin(), report.mShards.end(), [](const auto& aShard) {
+        return aShard.mFate == shard_fate::Answered;
+      });
+    const double part = static_cast<double>(answered) / mSettings.mShards;
+    const bool good = part >= mSettings.mLeastCoverage[query.mClass];
+    load_count& tenant =
+      mResult.mTenants[mSettings.mTenants[query.mTenant].mName];
+    for (load_count* each : { &mResult.mClasses[query.mClass], &tenant }) {
+      ++each->mOffered;
+      each->mGood += good ? 1 : 0;
+      each->mCoverage += part;
+      if (good) {
+        each->mLatencies.push_back(mNow - query.mArrived);
+      }
+    }
+  }
+
+  load_settings mSettings;
+  std::mt19937_64 mRandom;
+  replica_chooser mChooser;
+  hedge_budget mBudget;
+  latency_tracker mTracker;
+  no_hedge mNone;
+  fixed_hedge mFixed{ std::chrono::milliseconds(30) };
+  quantile_hedge mQuantile;
+  std::vector<leaf_sim> mLeaves;
+  std::deque<query_sim> mQueries;
+  std::map<attempt_id, attempt_sim> mAttempts;
+  std::priority_queue<event> mEvents;
+  std::uint64_t mOrder = 0;
+  instant mNow;
+  load_result mResult;
+  double mFirst = 0;
+  double mExtra = 0;
+  double mBusy = 0;
+  double mWasted = 0;
+};
+
+} // namespace
+
+double
+load_count::Millis(double aQuantile) const
+{
+  if (mLatencies.empty()) {
+    return 0;
+  }
+  const auto last = static_cast<double>(mLatencies.size() - 1);
+  const auto index = static_cast<std::size_t>(std::llround(aQuantile * last));
+  return seconds(mLatencies[index]).count() * 1000;
+}
+
+load_result
+RunLoad(const load_settings& aSettings)
+{
+  return simulation(aSettings).Run();
+}
+
+std::string
+Row(const std::string& aName, const load_result& aResult)
+{
+  std::array<char, 256> line{};
+  const load_count& urgent = aResult.mClasses[0];
+  const load_count& browsing = aResult.mClasses[1];
+  std::snprintf(
+    line.data(),
+    line.size(),
+    "%-28s %7.1f /s | urgent %5.1f%% p50 %5.1f p99 %6.1f | browsing "
+    "%5.1f%% p99 %6.1f cov %5.1f%% | extra %4.1f%% wasted %4.1f%%\n",
+    aName.c_str(),
+    aResult.mGoodput,
+    100 * urgent.GoodPart(),
+    urgent.Millis(0.5),
+    urgent.Millis(0.99),
+    100 * browsing.GoodPart(),
+    browsing.Millis(0.99),
+    100 * browsing.Coverage(),
+    100 * aResult.mExtraSends,
+    100 * aResult.mWasted);
+  return line.data();
+}
+
+} // namespace monsooncroft::policy
