--- a/src/entry/cluster_watch.cpp
+++ b/src/entry/cluster_watch.cpp
@@ -72,6 +72,12 @@
 {
 }
 
+void
+cluster_watch::SetChanged(std::function<void()> aChanged)
+{
+  mChanged = std::move(aChanged);
+}
+
 bool
 cluster_watch::OnManifest(const cluster::manifest_head& aHead,
                           const std::vector<cluster::chunk>& aChunks)
@@ -121,6 +127,7 @@
     owners = view ? static_cast<int>(view->Count()) : 1;
   }
   mParts.mLeaves.Adopt(*manifest, std::max(1, owners));
+  mChanged();
 }
 
 void
--- a/src/entry/cluster_watch_base.h
+++ b/src/entry/cluster_watch_base.h
@@ -9,6 +9,7 @@
 #include "model/identifier_type.h"
 #include "peer/cluster_node_base.h"
 
+#include <functional>
 #include <set>
 
 namespace monsooncroft::ops {
@@ -48,6 +49,9 @@
   void OnAlarm(cluster::alarm_kind aKind, const std::string& aText) override;
   void OnPause(model::duration aGap) override;
 
+  /** Called after each change of manifest or members. @pre Before any. */
+  void SetChanged(std::function<void()> aChanged);
+
   /** Leaves that this instance owns; all of them when it is direct. */
   std::set<model::leaf_id> OwnedLeaves() const;
 
@@ -56,6 +60,7 @@
 
   watch_parts mParts;
   int mOwnersPerGroup;
+  std::function<void()> mChanged;
 };
 
 } // namespace monsooncroft::entry
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -105,6 +105,7 @@
   std::unique_ptr<net::http_server> mCallerServer;
   std::unique_ptr<net::http_server> mPeerServer;
   std::unique_ptr<ticker> mTicker;
+  std::atomic<bool> mServing{ false }; ///< Everything is put together.
   std::atomic<bool> mStopping{ false };
   std::atomic<bool> mHurry{ false };
 };
@@ -156,6 +157,8 @@
   settings.mDataCentre = mDataCentre;
   settings.mPeer = mSettings.Endpoint(setting::ListenPeer);
   settings.mOptions = ClusterOptionsOf(mSettings);
+  mTicker = std::make_unique<ticker>(kTick, [this] { OnTick(); });
+  mWatch.SetChanged([this] { mTicker->Wake(); });
   mNode =
     peer::cluster_node::Start(settings, { mPeers, mSource, mSource, mWatch });
   mPeerHandler = std::make_unique<peer_handler>(peer_routes{
@@ -171,7 +174,8 @@
     static_cast<std::size_t>(mSettings.Integer(setting::QueryBodyLimit)) });
   mPeerServer = net::http_server::Start(PeerServerOf(mSettings), *mPeerHandler);
   mCallerServer = net::http_server::Start(CallerServerOf(mSettings), *mCallers);
-  mTicker = std::make_unique<ticker>(kTick, [this] { OnTick(); });
+  mServing = true;
+  mTicker->Wake();
   mLog.Write(
     ops::log_level::Info,
     "started",
@@ -183,6 +187,9 @@
 void
 instance::OnTick()
 {
+  if (!mServing) {
+    return;
+  }
   mList.Poll(*mNode, Now());
   mLeaves.Tick(mWatch.OwnedLeaves());
   mRoot.RefreshSnapshots();
@@ -191,7 +198,8 @@
 bool
 instance::Ready() const
 {
-  return !mStopping && mManifests.Owners() != nullptr;
+  return !mStopping && mManifests.Owners() != nullptr &&
+         mLeaves.Looked(mWatch.OwnedLeaves());
 }
 
 std::string
--- a/src/entry/leaf_table.cpp
+++ b/src/entry/leaf_table.cpp
@@ -218,6 +218,17 @@
   }
 }
 
+bool
+leaf_table::Looked(const std::set<model::leaf_id>& aLeaves) const
+{
+  const std::lock_guard lock(mMutex);
+  return std::all_of(
+    aLeaves.begin(), aLeaves.end(), [this](const model::leaf_id& aLeaf) {
+      const auto found = mLeaves.find(aLeaf);
+      return found == mLeaves.end() || found->second.mLooked;
+    });
+}
+
 std::size_t
 leaf_table::Connections() const
 {
@@ -245,15 +256,16 @@
 leaf_table::OnState(const model::leaf_id& aLeaf,
                     const std::optional<link::leaf_state>& aState)
 {
-  if (!aState) {
-    return;
-  }
   {
     const std::lock_guard lock(mMutex);
     const auto found = mLeaves.find(aLeaf);
     if (found == mLeaves.end()) {
       return;
     }
+    found->second.mLooked = true;
+    if (!aState) {
+      return;
+    }
     found->second.mHeld = aState->mHeld;
   }
   OnReport(aLeaf, policy::boot_id(aState->mBoot), aState->mDraining);
--- a/src/entry/leaf_table_base.h
+++ b/src/entry/leaf_table_base.h
@@ -85,6 +85,8 @@
 
   /** Asks the leaves for their state; due ones only. Call each second. */
   void Tick(const std::set<model::leaf_id>& aOwned);
+  /** Whether each of these has been asked for its state, answered or not. */
+  bool Looked(const std::set<model::leaf_id>& aLeaves) const;
   std::size_t Connections() const; ///< Open ones, over all leaves.
 
   void OnAttemptEnd(const model::leaf& aLeaf,
@@ -100,6 +102,7 @@
     model::service_id mService;
     std::shared_ptr<leaf_gate> mGate; ///< Made at the first use.
     std::map<model::shard_id, std::vector<model::index_version>> mHeld;
+    bool mLooked = false; ///< A question for its state has ended.
   };
 
   void Probe(const model::leaf_id& aLeaf);
--- a/src/entry/ticker.cpp
+++ b/src/entry/ticker.cpp
@@ -25,13 +25,25 @@
   mThread.join();
 }
 
+void
+ticker::Wake()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mWoken = true;
+  }
+  mChanged.notify_all();
+}
+
 void
 ticker::Run()
 {
   for (;;) {
     mTask();
     std::unique_lock lock(mMutex);
-    if (mChanged.wait_for(lock, mPeriod, [this] { return mEnded; })) {
+    mChanged.wait_for(lock, mPeriod, [this] { return mEnded || mWoken; });
+    mWoken = false;
+    if (mEnded) {
       return;
     }
   }
--- a/src/entry/ticker_base.h
+++ b/src/entry/ticker_base.h
@@ -18,7 +18,8 @@
 {
 public:
   ticker(std::chrono::milliseconds aPeriod, std::function<void()> aTask);
-  ~ticker(); ///< Waits for a call under way.
+  ~ticker();   ///< Waits for a call under way.
+  void Wake(); ///< Calls the task at once, or again if it is under way.
   ticker(const ticker&) = delete;
   ticker& operator=(const ticker&) = delete;
   ticker(ticker&&) = delete;
@@ -32,6 +33,7 @@
   std::mutex mMutex; ///< Guards mEnded; nothing is called under it.
   std::condition_variable mChanged;
   bool mEnded = false;
+  bool mWoken = false;
   std::thread mThread;
 };
 
