--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -4,6 +4,8 @@
  */
 #include "ctl/command_line_func.h"
 
+#include "config/object_reader_base.h"
+
 #include <CLI/CLI.hpp>
 
 #include <iostream>
@@ -34,6 +36,16 @@
   return model::endpoint::Parse(aText) ? "" : aText + " is no numeric ip:port";
 }
 
+/** Leaves room for the digest that is added. */
+std::string
+CheckChange(const std::string& aText)
+{
+  constexpr std::size_t kLongestChange = 60;
+  const bool fits = config::IsName(aText) && aText.size() <= kLongestChange;
+  return fits ? ""
+              : "a change's name is 1 to 60 letters, digits, '.', '_' or '-'";
+}
+
 std::vector<model::endpoint>
 Endpoints(const std::vector<std::string>& aTexts)
 {
@@ -92,8 +104,12 @@
     "--wait", options.mWait, "Wait until every instance has it in force");
   apply->add_option(
     "--base", options.mBase, "Version planned against; refused if it moved");
-  CLI::Option* change = apply->add_option(
-    "--change", options.mChange, "Name of this change (default: a fresh one)");
+  CLI::Option* change =
+    apply
+      ->add_option("--change",
+                   options.mChange,
+                   "Name of this change (default: a fresh one)")
+      ->check(CheckChange);
   apply
     ->add_flag("--repeat",
                options.mRepeat,
--- a/src/platform/apply_cmd.cpp
+++ b/src/platform/apply_cmd.cpp
@@ -4,9 +4,7 @@
  */
 #include "platform/apply_base.h"
 
-#include "config/manifest_json_func.h"
 #include "platform/head_json_func.h"
-#include "platform/key_value_service_base.h"
 
 #include <algorithm>
 #include <cassert>
@@ -14,51 +12,6 @@
 
 namespace monsooncroft::platform {
 
-namespace {
-
-constexpr std::size_t kDigestDigits = 16;
-
-chunk_text
-ChunkOf(std::string aText)
-{
-  std::string hash = HashChunk(aText);
-  return { std::move(hash), std::move(aText) };
-}
-
-} // namespace
-
-const char*
-ToString(apply_end aEnd)
-{
-  switch (aEnd) {
-    case apply_end::Accepted:
-      return "accepted";
-    case apply_end::Conflict:
-      return "conflict";
-    case apply_end::NotApplied:
-      return "not_applied";
-    case apply_end::Unknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
-apply_request
-apply_request::Of(const model::manifest& aManifest, const change_id& aChange)
-{
-  apply_request out;
-  out.mTenants = ChunkOf(config::EmitTenants(aManifest.Tenants()));
-  std::string content = out.mTenants.mHash;
-  for (const model::service& service : aManifest.Services()) {
-    out.mServices.push_back(
-      { service.mId, ChunkOf(config::EmitService(service)) });
-    content += out.mServices.back().mChunk.mHash;
-  }
-  const std::string digest = HashChunk(content).substr(0, kDigestDigits);
-  out.mChange = change_id(aChange.Value() + "." + digest);
-  return out;
-}
-
 chunk_ref*
 apply_machine::pending_chunk::Place(head& aHead) const
 {
@@ -348,8 +301,12 @@
     return;
   }
   if (mPhase == phase::WriteChunks && mDone == mToWrite.size()) {
-    if (EmitHead(mNext).size() > kMaxValueBytes) {
-      Finish(apply_end::NotApplied, "the head would be too large");
+    // A head that cannot be read would shut out every later change.
+    const auto readable = ParseHead(EmitHead(mNext));
+    if (readable.has_error()) {
+      Finish(apply_end::NotApplied,
+             "the head would be invalid: " +
+               ToString(readable.error().front()));
       return;
     }
     Enter(phase::SwapHead);
@@ -393,9 +350,7 @@
       << " least " << mLeastRevision << " end "
       << static_cast<int>(mVerdict.mEnd) << " version " << mVerdict.mVersion
       << " newest " << mVerdict.mNewest << " winner " << mVerdict.mWinner;
-  if (mPhase == phase::SwapHead) {
-    out << " next " << EmitHead(mNext);
-  }
+  out << " next " << HashChunk(EmitHead(mNext));
   return out.str();
 }
 
--- a/test/platform/apply_test.cpp
+++ b/test/platform/apply_test.cpp
@@ -199,13 +199,17 @@
 };
 
 world
-Start(const std::vector<apply_request>& aRequests, int aFaults)
+Start(const std::vector<apply_request>& aRequests,
+      int aFaults,
+      model::manifest_version aEarlier = 1)
 {
   world out;
   out.mFaults = aFaults;
-  apply_machine first(Request("before"));
-  while (first.Next()) {
-    Step(out.mStore, first, store_fault::None);
+  for (model::manifest_version i = 0; i < aEarlier; ++i) {
+    apply_machine earlier(Request("before" + std::to_string(i)));
+    while (earlier.Next()) {
+      Step(out.mStore, earlier, store_fault::None);
+    }
   }
   for (const apply_request& request : aRequests) {
     out.mOperators.emplace_back(request);
@@ -237,6 +241,27 @@
   EXPECT_EQ(all.Ends(apply_end::NotApplied), 0);
 }
 
+TEST(apply, deleting_old_chunks_never_hits_one_in_use)
+{
+  explorer all;
+  // The operators ship content that was in force before and is retired: the
+  // first one's chunk is due for deletion as they begin.
+  std::vector<apply_request> requests = { Request("before0"), Request("b") };
+  requests[0].mChange = change_id("again");
+  all.Run(Start(requests, 1, kRetiredVersions + 1), requests);
+  EXPECT_GT(all.Ends(apply_end::Accepted), 0);
+  EXPECT_GT(all.Ends(apply_end::Conflict), 0);
+}
+
+TEST(apply, a_change_whose_name_cannot_be_read_back_is_not_applied)
+{
+  fake_key_value store;
+  apply_request request = Request("a");
+  request.mChange = change_id("two words");
+  EXPECT_EQ(RunApply(request, store, [](int) {}).mEnd, apply_end::NotApplied);
+  EXPECT_EQ(RunApply(Request("b"), store, [](int) {}).mVersion, 1U);
+}
+
 TEST(apply, the_loser_learns_who_won)
 {
   world now = Start({ Request("a"), Request("b") }, 0);
