Tests: trials alone on a leaf, and a clock that steps back

Cause: switching off the isolation of suspects, and the longer memory of used permissions, failed no test. Forgetting permissions at one window now fails too.

--- a/test/once/killing_fleet.cpp
+++ b/test/once/killing_fleet.cpp
@@ -34,7 +34,8 @@
     next.mKills = i < aOptions.mKillers;
     next.mSendsLeft = aOptions.mSends;
     const auto number = static_cast<std::uint64_t>(i);
-    next.mContent = next.mKills ? kKilling : content_hash{ 2, number };
+    const bool same = next.mKills && !aOptions.mDistinct;
+    next.mContent = same ? kKilling : content_hash{ 2, number };
     next.mInstance = Pick(kInstances);
     mJobs.push_back(next);
   }
--- a/test/once/killing_fleet.h
+++ b/test/once/killing_fleet.h
@@ -17,9 +17,10 @@
 struct fleet_options
 {
   unsigned mSeed = 0;
-  int mKillers = 1;   ///< Callers of the killing request, each sends it again.
-  int mSends = 6;     ///< Sends of each of them.
-  int mInnocents = 6; ///< Other requests, sent until they are answered.
+  int mKillers = 1; ///< Callers of the killing request, each sends it again.
+  bool mDistinct = false; ///< Each of those callers has a request of its own.
+  int mSends = 6;         ///< Sends of each of them.
+  int mInnocents = 6;     ///< Other requests, sent until they are answered.
   screening mScreening = screening::Never;
   bool mSpreadFirst = true; ///< Marks reach all before the caller is answered.
 };
--- a/test/once/quarantine_test.cpp
+++ b/test/once/quarantine_test.cpp
@@ -61,6 +61,16 @@
   EXPECT_EQ(worst.mAnswered, 6);
 }
 
+TEST(killing_fleet, several_killing_requests_cost_two_leaves_each)
+{
+  fleet_options options;
+  options.mKillers = 4;
+  options.mDistinct = true;
+  const fleet_end worst = Worst(options);
+  EXPECT_EQ(worst.mDeaths, 8);
+  EXPECT_EQ(worst.mAnswered, 6) << "a suspect on trial shares no leaf";
+}
+
 TEST(killing_fleet, marks_spread_after_the_answer_do_not_keep_the_bound)
 {
   fleet_options options;
--- a/test/once/record_test.cpp
+++ b/test/once/record_test.cpp
@@ -82,6 +82,20 @@
   EXPECT_EQ(Decode(second.mCas->mValue)->size(), 6U);
 }
 
+TEST(record, used_permission_survives_a_step_back_of_the_clock)
+{
+  record_settings settings;
+  record_keeper keeper(settings, kSelf);
+  keeper.Offer(Offer(1), At(0ms));
+  keeper.OnRead({ true, 0, "" }, At(1ms));
+  const auto stored = keeper.OnCas({ cas_outcome::Stored, 1 }, At(2ms));
+  ASSERT_EQ(stored.mVerdicts.at(0).mKind, verdict_kind::Dispatch);
+  keeper.OnTimer(At(settings.mWindow + 1ms));
+  const auto again = keeper.Offer(Offer(1), At(3ms));
+  ASSERT_EQ(again.mVerdicts.size(), 1U);
+  EXPECT_EQ(again.mVerdicts[0].mKind, verdict_kind::AlreadyOurs);
+}
+
 TEST(record, full_bucket_refuses_the_rest)
 {
   record_settings settings;
