--- a/test/cluster/fake_network.cpp
+++ b/test/cluster/fake_network.cpp
@@ -49,7 +49,7 @@
 {
   mHead = std::to_string(aVersion);
   for (const std::string name : { "routes", "lookups", "stock" }) {
-    const auto text = name == "stock" ? name : name + mHead;
+    const auto text = name == "stock" ? name : name + mHead + mPadding;
     const auto hash = fake_format().Hash(text);
     mTexts[hash] = text;
     mHead += " " + name + "=" + hash;
@@ -83,6 +83,7 @@
                   { "10.0.0.1", aPort },
                   static_cast<cluster::incarnation>(started),
                   cluster::member_state::Alive };
+  mByPeer[added.mSelf.mPeer] = aId;
   added.mCore = std::make_unique<cluster::cluster_core>(
     added.mSelf, mFormat, cluster::cluster_options(), mRandom());
   At(mNow + model::duration(mRandom() % 100'000), [this, aId] { Tick(aId); });
@@ -105,7 +106,7 @@
 void
 fake_network::ShowList()
 {
-  std::vector<cluster::listed_instance> list;
+  auto list = mGhosts;
   for (const auto& [id, instance] : mInstances) {
     if (instance.mUp) {
       const auto& self = instance.mSelf;
@@ -191,10 +192,9 @@
 fake_instance*
 fake_network::Holder(const model::endpoint& aPeer)
 {
-  for (auto& [id, instance] : mInstances) {
-    if (instance.mUp && instance.mSelf.mPeer == aPeer) {
-      return &instance;
-    }
+  const auto found = mByPeer.find(aPeer);
+  if (found != mByPeer.end() && mInstances.at(found->second).mUp) {
+    return &mInstances.at(found->second);
   }
   return nullptr;
 }
--- a/test/cluster/fake_network.h
+++ b/test/cluster/fake_network.h
@@ -37,6 +37,7 @@
   std::string mHead;                     ///< Empty: none.
   std::optional<std::string> mStaleHead; ///< Given instead, if set.
   std::map<std::string, std::string> mTexts;
+  std::string mPadding; ///< Makes changed chunks longer.
   bool mUp = true;
   bool mWatchFires = true;
   std::set<model::data_centre_id> mCutOff; ///< Cannot reach it.
@@ -92,6 +93,8 @@
 
   std::map<std::string, fake_instance> mInstances;
   fake_platform mPlatform;
+  std::vector<cluster::listed_instance>
+    mGhosts;        ///< Also listed; nobody answers there.
   double mLoss = 0; ///< Chance that a packet is lost.
 
 private:
@@ -130,6 +133,7 @@
   fake_format mFormat;
   model::instant mNow{ 1'000s };
   std::uint64_t mOrder = 0;
+  std::map<model::endpoint, std::string> mByPeer;
   std::priority_queue<event> mEvents;
   std::function<bool(const cluster::member&, const cluster::member&)> mCut;
 };
