Cluster: no notice answers a notice; lonely instances poll slowly instead of acting as listeners

Switching refutation off in a scratch copy made two members that doubt each other answer notices without end; a notice now draws none. An instance that lost all peers used to become its own listener (a watch and a read each 1.5 s); many of them together would pass the share of calls, so it now reads each 10 s.

--- a/src/cluster/cluster_core.cpp
+++ b/src/cluster/cluster_core.cpp
@@ -307,10 +307,14 @@
   const auto& self = mMembership.Self();
   const auto listeners =
     Listeners(self.mDataCentre, *View()->Of(self.mDataCentre));
-  context.mListener =
-    std::find(listeners.begin(), listeners.end(), self.mId) != listeners.end();
   const auto heard = mMembership.LastHeard();
-  context.mLonely = !heard || aNow.mNow - *heard > kLonelyAfter;
+  const bool silent = !heard || aNow.mNow - *heard > kLonelyAfter;
+  const bool others = mMembership.Table().All().size() > 1;
+  context.mLonely = silent && others;
+  // Instances that all lost each other must not all act as listeners.
+  const bool chosen =
+    std::find(listeners.begin(), listeners.end(), self.mId) != listeners.end();
+  context.mListener = chosen && !context.mLonely;
   context.mAsked = mAsked;
   for (const auto& peer : mMembership.Pick(kPeersForPulls)) {
     context.mPeers.push_back(peer.mPeer);
--- a/src/cluster/manifest_spread_base.h
+++ b/src/cluster/manifest_spread_base.h
@@ -22,7 +22,7 @@
 struct spread_context
 {
   bool mListener = false; ///< This instance holds a watch.
-  bool mLonely = false;   ///< No peer was heard for a while.
+  bool mLonely = false;   ///< Others exist, but none was heard for a while.
   int mAsked = 0;         ///< Peers that were asked for their head at start.
   std::vector<model::endpoint> mPeers; ///< Some random peers.
 };
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -249,7 +249,11 @@
   packets out;
   mHeard[aMessage.mSender.mDataCentre] = aNow;
   Merge(aMessage.mSender, aNow);
-  TellSender(aMessage.mSender, out);
+  if (aMessage.mType != message_type::Gossip) {
+    // A notice never draws a notice, or two that doubt each other would not
+    // stop.
+    TellSender(aMessage.mSender, out);
+  }
   switch (aMessage.mType) {
     case message_type::Ping:
       OnPing(aMessage, aFrom, out);
--- a/test/cluster/rumour_test.cpp
+++ b/test/cluster/rumour_test.cpp
@@ -115,6 +115,7 @@
                                          std::tuple(3, 3, 0.2),
                                          std::tuple(3, 10, 0.05),
                                          std::tuple(4, 25, 0.05),
+                                         std::tuple(28, 4, 0.05),
                                          std::tuple(1, 164, 0.05)));
 
 } // namespace
