--- a/test/cluster/fake_network.h
+++ b/test/cluster/fake_network.h
@@ -37,10 +37,12 @@
   std::string mHead;                     ///< Empty: none.
   std::optional<std::string> mStaleHead; ///< Given instead, if set.
   std::map<std::string, std::string> mTexts;
+  std::string mPadding; ///< Makes changed chunks longer.
   bool mUp = true;
   bool mWatchFires = true;
   std::set<model::data_centre_id> mCutOff; ///< Cannot reach it.
   int mReads = 0;
+  model::duration mDelay = 5ms; ///< Of a read.
 
   /** Accepts a manifest of some chunks. @return Its version. */
   void Apply(model::manifest_version aVersion);
@@ -84,7 +86,7 @@
   moment Now() const;
   void Do(fake_instance& aInstance, const cluster::cluster_effects& aEffects);
 
-  /** Members that an instance counts as live. */
+  /** Members that take work, as an instance sees it. */
   std::set<std::string> SeenBy(const std::string& aId) const;
   /** Whether every instance that is up sees just those that are up. */
   bool Converged() const;
@@ -92,6 +94,8 @@
 
   std::map<std::string, fake_instance> mInstances;
   fake_platform mPlatform;
+  std::vector<cluster::listed_instance>
+    mGhosts;        ///< Also listed; nobody answers there.
   double mLoss = 0; ///< Chance that a packet is lost.
 
 private:
@@ -130,6 +134,7 @@
   fake_format mFormat;
   model::instant mNow{ 1'000s };
   std::uint64_t mOrder = 0;
+  std::map<model::endpoint, std::string> mByPeer;
   std::priority_queue<event> mEvents;
   std::function<bool(const cluster::member&, const cluster::member&)> mCut;
 };
