--- a/test/policy/admission_property_test.cpp
+++ b/test/policy/admission_property_test.cpp
@@ -13,10 +13,10 @@
 using model::attempt_outcome;
 
 /** Drives one queue at random and keeps account of every attempt. */
-class chaos
+class random_driver
 {
 public:
-  chaos()
+  random_driver()
     : mSlots(*rc::gen::inRange(1, 5))
     , mQueue(mSlots, Settings())
   {
@@ -122,7 +122,7 @@
 
 RC_GTEST_PROP(admission_property, every_attempt_ends_once_within_the_slots, ())
 {
-  chaos().Run();
+  random_driver().Run();
 }
 
 } // namespace
--- a/test/policy/fanout_property_test.cpp
+++ b/test/policy/fanout_property_test.cpp
@@ -30,10 +30,10 @@
   int mFinished = 0;
 };
 
-class chaos
+class random_driver
 {
 public:
-  chaos()
+  random_driver()
   {
     mPlan.mIdempotent = *rc::gen::arbitrary<bool>();
     mPlan.mDeadline = mNow + 100ms;
@@ -202,7 +202,7 @@
 
 RC_GTEST_PROP(fanout_property, labels_are_true_in_any_order_of_events, ())
 {
-  chaos().Run();
+  random_driver().Run();
 }
 
 /** How a leaf treats everything sent to it. */
--- a/test/policy/load_test.cpp
+++ b/test/policy/load_test.cpp
@@ -80,6 +80,19 @@
   EXPECT_GT(quiet.mClasses[0].GoodPart(), 0.99);
 }
 
+TEST(load, contended_slots_follow_the_weights)
+{
+  load_settings settings;
+  settings.mLoad = 3.0;
+  settings.mUrgent = 0;
+  settings.mTenants = { { "heavy", 0.5, 3 }, { "light", 0.5, 1 } };
+  const load_result out = Measure("weights 3 and 1", settings);
+  const int heavy = out.mTenants.at("heavy").mGood;
+  const int light = out.mTenants.at("light").mGood;
+  std::cout << "  heavy " << heavy << ", light " << light << "\n";
+  EXPECT_NEAR(1.0 * heavy / light, 3, 0.4);
+}
+
 TEST(load, hedges_cut_the_tail_within_their_budget)
 {
   for (const double load : { 0.3, 0.5, 0.7, 0.85 }) {
