--- a/test/policy/fanout_test.cpp
+++ b/test/policy/fanout_test.cpp
@@ -175,6 +175,31 @@
             std::set{ two });
 }
 
+TEST(answer, shard_with_an_unusable_result_ran_and_is_missing)
+{
+  model::service service;
+  fanout_report report;
+  for (const char* name : { "s1", "s2" }) {
+    const model::shard_id id(name);
+    service.mShards.push_back({ id, { model::coverage_name(name) }, {} });
+    shard_report shard{ id, shard_fate::Answered, false, {} };
+    shard.mLast.mResult = id.Value() == "s1" ? "[1]" : "{}";
+    report.mShards.push_back(shard);
+  }
+  model::contract contract;
+  contract.mLeastCoverage = 0.5;
+  const auto build = [&] {
+    return BuildAnswer({}, report, service, contract, 1);
+  };
+  EXPECT_EQ(build().mStatus, model::status::Partial);
+  EXPECT_EQ(build().mResults, "[1]");
+  EXPECT_EQ(build().mReason, "bad_result");
+  EXPECT_EQ(build().mCoverage.mMissing,
+            std::vector{ model::coverage_name("s2") });
+  contract.mIdempotent = false;
+  EXPECT_EQ(build().mStatus, model::status::Unknown);
+}
+
 TEST(answer, status_table)
 {
   const auto decide =
