--- a/src/entry/record_driver.cpp
+++ b/src/entry/record_driver.cpp
@@ -19,8 +19,9 @@
 
 /** Before a write beyond this instance's share is tried again. */
 constexpr model::duration kThrottlePause{ 10000 };
-/** A write that waited for longer is given up: its ages were checked then. */
-constexpr model::duration kThrottleGiveUp{ 400000 };
+/** A write that waited for longer is given up: its ages were checked before,
+ * and the window leaves far more than this. */
+constexpr model::duration kThrottleGiveUp{ 1000000 };
 
 once::clock_reading
 Clocks()
