Fan-out: a hedge that did not run is followed by the next candidate

Cause: a hedge ended as not sent or refused while the first attempt was still under way; the fan-out then waited for that first attempt until the deadline, although other replicas had not been asked. Found in the fault matrix: a paused owner, and a hedge to an instance that had no leaf of the shard.

Ruled out: following at no charge as after a first attempt. The property test counts extra attempts against the budget, and a shard with many refusing replicas would overdraw it; so each follower is paid like a hedge.

Before: the new test fails (no effect after the refused hedge).

--- a/src/policy/fanout_base.h
+++ b/src/policy/fanout_base.h
@@ -112,6 +112,7 @@
   {
     std::size_t mRun = 0;       ///< Index into mRuns.
     std::size_t mCandidate = 0; ///< Index into its candidates.
+    bool mExtra = false;        ///< Paid from the budget.
   };
 
   void Send(std::size_t aRun,
--- a/src/policy/fanout_cmd.cpp
+++ b/src/policy/fanout_cmd.cpp
@@ -84,7 +84,12 @@
   }
   const shard_run& run = mRuns[open.mRun];
   if (!run.mOpen.empty()) {
-    return out; // Another attempt of this shard is still under way.
+    // Another attempt of this shard is still under way, and may never end: a
+    // hedge that did not run has not helped yet.
+    if (open.mExtra && model::DidNotRun(outcome) && MayTryAgain(run)) {
+      Hedge(open.mRun, aNow, out);
+    }
+    return out;
   }
   SetTimers(open.mRun, {}, {});
   if (!MayTryAgain(run)) {
@@ -241,7 +246,7 @@
   to.mOpen = true;
   ++to.mTries;
   run.mOpen.push_back(attempt);
-  mAttempts.emplace(attempt, open_attempt{ aRun, aCandidate });
+  mAttempts.emplace(attempt, open_attempt{ aRun, aCandidate, aExtra });
   if (!aExtra) {
     mBudget.OnSend();
   }
--- a/test/policy/fanout_test.cpp
+++ b/test/policy/fanout_test.cpp
@@ -82,6 +82,27 @@
   EXPECT_EQ(run.Report().mShards[0].mFate, shard_fate::Answered);
 }
 
+TEST_F(fanout_test, hedge_that_did_not_run_is_followed_by_the_next_candidate)
+{
+  mHedge.mDelay = 10ms;
+  mBudget.mLeft = 2;
+  fanout_plan plan = Make(true).Plan();
+  plan.mShards[0].mCandidates.emplace_back("c");
+  fanout run(plan, mHedge, mBudget, 1);
+  run.Start(kStart);
+  run.OnTimer(kStart + 10ms);
+  // The first attempt is still under way and may never end.
+  EXPECT_EQ(
+    run.OnResult(Result("q-2", attempt_outcome::NotSent), kStart + 11ms),
+    fanout_effects{ Sent("q-3", "c", true) });
+  EXPECT_EQ(mBudget.mLeft, 0);
+  EXPECT_TRUE(
+    run.OnResult(Result("q-3", attempt_outcome::Refused), kStart + 12ms)
+      .empty());
+  run.OnResult(Result("q-1", attempt_outcome::Ok), kStart + 13ms);
+  EXPECT_EQ(run.Report().mShards[0].mFate, shard_fate::Answered);
+}
+
 TEST_F(fanout_test, not_idempotent_moves_on_only_after_proof)
 {
   fanout run = Make(false);
