--- a/test/matrix/cell_type.h
+++ b/test/matrix/cell_type.h
@@ -54,10 +54,10 @@
 ToString(fault aFault)
 {
   static constexpr std::array<const char*, std::size_t(fault::End)> kNames{
-    "straggler",         "replica_lost",    "repartition",
-    "store_down",        "store_slow",      "answer_lost",
+    "straggler",         "replica_lost",     "repartition",
+    "store_down",        "store_slow",       "answer_lost",
     "paused_holder",     "racing_operators", "killing_request",
-    "silent_connection", "data_centre_cut", "instance_killed",
+    "silent_connection", "data_centre_cut",  "instance_killed",
     "instance_replaced",
   };
   return kNames.at(std::size_t(aFault));
--- a/test/matrix/evidence_type.h
+++ b/test/matrix/evidence_type.h
@@ -62,7 +62,7 @@
   std::vector<applied_change> mChanges;
   std::vector<platform::head> mHeads; ///< Every head that the store had.
   std::map<std::string, std::vector<model::manifest_version>>
-    mAdopted;                    ///< By life of an instance, in order.
+    mAdopted;                     ///< By life of an instance, in order.
   bool mInForceEverywhere = true; ///< The newest head, at the end.
 };
 
--- a/test/matrix/query_run_type.h
+++ b/test/matrix/query_run_type.h
@@ -23,6 +23,7 @@
   model::instant mDeadline;
   std::optional<model::wall_instant> mSendBefore;
   once::passage mPassage = once::passage::Free;
+  bool mHasTurn = false; ///< Among suspects.
   model::manifest_ptr mManifest;
   model::index_version mSnapshot = 0;
   std::vector<std::vector<model::shard_id>> mRounds; ///< Still to be run.
