--- a/src/config/settings_table.h
+++ b/src/config/settings_table.h
@@ -23,6 +23,7 @@
 MC_SETTING(OwnershipReplicas, "ownership.replicas", Integer, "1", 0, 8, "instances", "Owners of each group of leaves; 0: every instance sends directly.")
 MC_SETTING(HedgeBudget, "hedge.budget_percent", Number, "5", 0, 100, "%", "Hedges and retries together, of all sends.")
 MC_SETTING(HedgeQuantile, "hedge.quantile_percent", Number, "95", 50, 99.9, "%", "Quantile of a leaf's latency after which a hedge is sent.")
+MC_SETTING(HedgeFixed, "hedge.fixed_ms", Integer, "0", 0, 60000, "ms", "Hedge after this time always, in place of the quantile; 0: by the quantile. For comparison.")
 MC_SETTING(AdmissionFifo, "admission.fifo", Boolean, "false", 0, 0, "", "First come, first served in place of urgency and deadline; for comparison.")
 MC_SETTING(AdmissionQueueLimit, "admission.queue_limit", Integer, "64", 1, 10000, "requests", "Requests that wait for one leaf before more are refused.")
 MC_SETTING(RetryAttempts, "retry.attempts", Integer, "2", 1, 10, "attempts", "Attempts at one shard, hedges not counted.")
--- a/src/entry/settings_map.cpp
+++ b/src/entry/settings_map.cpp
@@ -28,6 +28,7 @@
   hedge_options options;
   options.mFraction = aPart * aSettings.Number(setting::HedgeBudget) / kPercent;
   options.mQuantile = aSettings.Number(setting::HedgeQuantile) / kPercent;
+  options.mFixed = aSettings.Milliseconds(setting::HedgeFixed);
   return options;
 }
 
