Slow owners go behind, and impatient requests are refused at once

Owners' latencies are smoothed by service at the root; one that takes more than twice the fastest's time goes behind the others, and every 16th idempotent query still asks it. Quick refusals do not count as latencies. After refusals by all an urgent request ends, a normal one unless the budget pays for another round, a browsing one waits as before. Ruled out: dropping second rounds for all kinds (browsing needs its coverage).

--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -22,6 +22,7 @@
 #include "entry/root_service_base.h"
 #include "entry/settings_map_func.h"
 #include "entry/snapshot_table_base.h"
+#include "entry/target_table_base.h"
 #include "entry/ticker_base.h"
 #include "entry/worker_pool_base.h"
 #include "net/http_connector_base.h"
@@ -93,6 +94,7 @@
   manifest_table mManifests;
   leaf_table mLeaves;
   snapshot_table mSnapshots;
+  target_table mTargets;
   owner_service mOwner;
   root_service mRoot;
   once_service mOnce;
@@ -136,6 +138,7 @@
         { mPeers,
           mOwner,
           mSnapshots,
+          mTargets,
           mId,
           static_cast<std::size_t>(aSettings.Integer(setting::RelayShards)) },
         mDataCentre },
--- a/src/entry/owner_sender.cpp
+++ b/src/entry/owner_sender.cpp
@@ -8,6 +8,7 @@
 #include "entry/owner_service_base.h"
 #include "entry/relay_codec_func.h"
 #include "entry/snapshot_table_base.h"
+#include "entry/target_table_base.h"
 #include "net/http_pool_base.h"
 
 #include <algorithm>
@@ -96,12 +97,13 @@
   }
   if (aOwner.mInstance == mLinks.mSelf) {
     const model::instant start = Now();
-    mLinks.mLocal.Run(request,
-                      [self = shared_from_this(), request, start, aDone](
-                        const relay_reply& aReply) {
-                        self->mBudget->OnLatency(Now() - start, Now());
-                        self->OnReply(request, aReply, aDone);
-                      });
+    mLinks.mLocal.Run(
+      request,
+      [self = shared_from_this(), aOwner, request, start, aDone](
+        const relay_reply& aReply) {
+        self->mBudget->OnLatency(Now() - start, Now());
+        self->OnReply(aOwner, request, aReply, start, aDone);
+      });
     return;
   }
   Relay(aOwner, request, aDone);
@@ -122,7 +124,7 @@
     owner->mPeer,
     Post(kRelayTarget, Emit(aRequest)),
     mDeadline - start,
-    [self = shared_from_this(), aRequest, start, aDone](
+    [self = shared_from_this(), aOwner, aRequest, start, aDone](
       const net::exchange_result& aResult) {
       self->mBudget->OnLatency(Now() - start, Now());
       if (aResult.mState == net::send_state::NotSent) {
@@ -135,18 +137,31 @@
           ? ParseRelayReply(aResult.mResponse.mBody)
           : std::nullopt;
       if (reply) {
-        self->OnReply(aRequest, *reply, aDone);
+        self->OnReply(aOwner, aRequest, *reply, start, aDone);
       } else {
+        self->mLinks.mTargets.Add(
+          aRequest.mService, aOwner.ToTarget(), Now() - start);
         FailAll(aRequest, model::attempt_outcome::Lost, "owner_lost", aDone);
       }
     });
 }
 
 void
-owner_sender::OnReply(const relay_request& aRequest,
+owner_sender::OnReply(const owner_target& aOwner,
+                      const relay_request& aRequest,
                       const relay_reply& aReply,
+                      model::instant aStart,
                       const callback& aDone)
 {
+  // A quick refusal says nothing about how long an answer takes.
+  const bool ran = std::any_of(aReply.mResults.begin(),
+                               aReply.mResults.end(),
+                               [](const model::attempt_result& aResult) {
+                                 return !model::DidNotRun(aResult.mOutcome);
+                               });
+  if (ran) {
+    mLinks.mTargets.Add(aRequest.mService, aOwner.ToTarget(), Now() - aStart);
+  }
   mLeafAttempts += aReply.mSent;
   mLinks.mSnapshots.OnHeld(aRequest.mService, aReply.mHeld);
   std::map<model::attempt_id, const model::attempt_result*> byAttempt;
--- a/src/entry/owner_sender_base.h
+++ b/src/entry/owner_sender_base.h
@@ -21,6 +21,7 @@
 
 class owner_service;
 class snapshot_table;
+class target_table;
 
 /** An owner as a target: an instance, and the data centre it is asked for. */
 struct owner_target
@@ -40,6 +41,7 @@
   net::http_pool& mPool;
   owner_service& mLocal;
   snapshot_table& mSnapshots; ///< Learns from replies.
+  target_table& mTargets;     ///< Learns from replies.
   model::instance_id mSelf;
   std::size_t mShardsPerMessage = 0; ///< To one owner; 0: all.
 };
@@ -76,8 +78,10 @@
   void Relay(const owner_target& aOwner,
              const relay_request& aRequest,
              const callback& aDone);
-  void OnReply(const relay_request& aRequest,
+  void OnReply(const owner_target& aOwner,
+               const relay_request& aRequest,
                const relay_reply& aReply,
+               model::instant aStart,
                const callback& aDone);
   static void FailAll(const relay_request& aRequest,
                       model::attempt_outcome aOutcome,
--- a/src/entry/root_service.cpp
+++ b/src/entry/root_service.cpp
@@ -9,6 +9,7 @@
 #include "entry/manifest_table_base.h"
 #include "entry/owner_service_base.h"
 #include "entry/snapshot_table_base.h"
+#include "entry/target_table_base.h"
 #include "ops/metrics_base.h"
 #include "policy/answer_func.h"
 
@@ -280,7 +281,11 @@
       targets.push_back(target.ToTarget());
     }
   }
-  return targets;
+  // A request that runs at most once has no hedge to make up for a probe.
+  return mParts.mLinks.mTargets.Order(aPinned.mService->mId,
+                                      std::move(targets),
+                                      aTurn,
+                                      aPinned.mContract->mIdempotent);
 }
 
 std::shared_ptr<shared_budget>
--- a/src/policy/fanout_base.h
+++ b/src/policy/fanout_base.h
@@ -101,7 +101,8 @@
     bool mMaybeRan = false; ///< Some ended attempt may have run.
     bool mNotHeld = false;
     bool mHedged = false;
-    int mRound = 0;                         ///< Back-offs taken.
+    int mRound = 0;     ///< Back-offs taken.
+    bool mPaid = false; ///< The next round is paid from the budget already.
     std::optional<model::instant> mRetryAt; ///< Nothing is under way.
     std::optional<model::instant> mHedgeAt; ///< One attempt is under way.
     model::attempt_result mLast;
@@ -123,6 +124,7 @@
   void SendNext(std::size_t aRun, model::instant aNow, fanout_effects& aOut);
   void Retry(std::size_t aRun, model::instant aNow, fanout_effects& aOut);
   void Hedge(std::size_t aRun, model::instant aNow, fanout_effects& aOut);
+  bool StartsNextRound(std::size_t aRun);
   void BackOff(std::size_t aRun, model::instant aNow, fanout_effects& aOut);
   void Accept(std::size_t aRun, fanout_effects& aOut);
   void Close(std::size_t aRun, fanout_effects& aOut);
--- a/src/policy/fanout_cmd.cpp
+++ b/src/policy/fanout_cmd.cpp
@@ -6,6 +6,7 @@
 #include "policy/hedge_base.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace monsooncroft::policy {
 
@@ -183,8 +184,10 @@
     Close(aRun, aOut);
   } else if (run.mCandidates[*next].mTries == 0) {
     Send(aRun, *next, false, aNow, aOut);
-  } else {
+  } else if (StartsNextRound(aRun)) {
     BackOff(aRun, aNow, aOut);
+  } else {
+    Close(aRun, aOut);
   }
 }
 
@@ -194,13 +197,33 @@
   const std::optional<std::size_t> next = NextCandidate(mRuns[aRun]);
   if (!next || !MayTryAgain(mRuns[aRun])) {
     Close(aRun, aOut);
-  } else if (mBudget.TryTake()) {
+  } else if (std::exchange(mRuns[aRun].mPaid, false) || mBudget.TryTake()) {
     Send(aRun, *next, true, aNow, aOut);
   } else {
     BackOff(aRun, aNow, aOut);
   }
 }
 
+/**
+ * Whether to wait and ask refusing candidates once more. An urgent caller is
+ * told at once, a normal one unless the next round can be paid; a browsing
+ * one waits for coverage.
+ */
+bool
+fanout::StartsNextRound(std::size_t aRun)
+{
+  switch (mPlan.mUrgency) {
+    case model::urgency::Urgent:
+      return false;
+    case model::urgency::Normal:
+      mRuns[aRun].mPaid = mBudget.TryTake();
+      return mRuns[aRun].mPaid;
+    case model::urgency::Browsing:
+      return true;
+  }
+  return false;
+}
+
 void
 fanout::Hedge(std::size_t aRun, instant aNow, fanout_effects& aOut)
 {
--- a/test/matrix/query_root.cpp
+++ b/test/matrix/query_root.cpp
@@ -148,7 +148,7 @@
     aRun->mPassage, once::HashContent(aRun->mQuery), aRun->mQuery.mService);
   aRun->mDone = [=, this, done = aRun->mDone](const model::answer& aAnswer) {
     if (const auto next = mTrials.Leave(key)) {
-      mWaitingTrials.at(*next)();
+      mWaitingTrials.at (*next)();
     }
     done(aAnswer);
   };
--- a/test/policy/fanout_test.cpp
+++ b/test/policy/fanout_test.cpp
@@ -31,9 +31,11 @@
 class fanout_test : public testing::Test
 {
 protected:
-  fanout Make(bool aIdempotent)
+  fanout Make(bool aIdempotent,
+              model::urgency aUrgency = model::urgency::Normal)
   {
     fanout_plan plan;
+    plan.mUrgency = aUrgency;
     plan.mIdempotent = aIdempotent;
     plan.mDeadline = kStart + 100ms;
     plan.mSnapshot = 7;
@@ -160,6 +162,37 @@
   EXPECT_EQ(run.OnTimer(*wake), fanout_effects{ Sent("q-3", "a", true) });
 }
 
+TEST_F(fanout_test, urgent_request_refused_by_all_ends_at_once)
+{
+  mBudget.mLeft = 5;
+  fanout run = Make(true, model::urgency::Urgent);
+  run.Start(kStart);
+  run.OnResult(Result("q-1", attempt_outcome::Refused), kStart);
+  EXPECT_EQ(run.OnResult(Result("q-2", attempt_outcome::Refused), kStart),
+            fanout_effects{ finish_effect{} });
+  EXPECT_FALSE(run.MayHaveRun());
+  EXPECT_EQ(mBudget.mLeft, 5);
+}
+
+TEST_F(fanout_test, normal_request_refused_by_all_ends_once_the_budget_is_spent)
+{
+  fanout run = Make(true);
+  run.Start(kStart);
+  run.OnResult(Result("q-1", attempt_outcome::Refused), kStart);
+  EXPECT_EQ(run.OnResult(Result("q-2", attempt_outcome::Refused), kStart),
+            fanout_effects{ finish_effect{} });
+}
+
+TEST_F(fanout_test, browsing_request_refused_by_all_waits_for_coverage)
+{
+  fanout run = Make(true, model::urgency::Browsing);
+  run.Start(kStart);
+  run.OnResult(Result("q-1", attempt_outcome::Refused), kStart);
+  EXPECT_TRUE(
+    run.OnResult(Result("q-2", attempt_outcome::Refused), kStart).empty());
+  EXPECT_TRUE(run.NextWake().has_value());
+}
+
 TEST(merge, unusable_results_reject_only_their_shard)
 {
   const model::shard_id one("1");
