entry: a request that kills leaves costs at most two of them

Cause: the quarantine decided, but nothing in the process asked it. Queries now pass trial_service: free, first one shard alone, isolated, or refused. An attempt whose connection died is told on only when the leaf's fate is settled and the members have the marks. Weighed: screening only after a death; one fan-out over three shards then costs three leaves by itself, so screening always is the default setting. Also: a send that joined a run which ended as not run gets that run's answer in place of unknown (no test of its own yet).

--- a/src/config/settings_table.h
+++ b/src/config/settings_table.h
@@ -33,5 +33,6 @@
 MC_SETTING(ManifestPoll, "manifest.poll_ms", Integer, "5000", 100, 600000, "ms", "Time between an instance's own looks at the platform's manifest when no peer is heard.")
 MC_SETTING(RecordWindow, "record.window_ms", Integer, "600000", 1000, 86400000, "ms", "Time for which the record of requests that run at most once is kept.")
 MC_SETTING(RecordBatch, "record.batch_ms", Integer, "5", 0, 1000, "ms", "Time for which records are gathered into one write.")
+MC_SETTING(QuarantineScreen, "quarantine.screen_always", Boolean, "true", 0, 0, "", "Each request that never ran before goes first alone; false: only after a death at its service.")
 MC_SETTING(QueryBodyLimit, "query.body_limit_bytes", Integer, "65536", 256, 1048576, "bytes", "Longest query.")
 // clang-format on
--- a/src/entry/attempt_sender_base.h
+++ b/src/entry/attempt_sender_base.h
@@ -13,6 +13,10 @@
 
 namespace monsooncroft::entry {
 
+/** Reason of an attempt in whose flight the leaf died: the fan-out sends
+ * nothing more to shards that may have run. */
+constexpr const char* kReasonLeafDied = "leaf_died";
+
 /** Carries out a fan-out's sends and cancellations. Thread safe. */
 class attempt_sender
 {
--- a/src/entry/cluster_watch.cpp
+++ b/src/entry/cluster_watch.cpp
@@ -10,6 +10,7 @@
 #include "entry/leaf_table_base.h"
 #include "entry/manifest_store_source_base.h"
 #include "entry/manifest_table_base.h"
+#include "entry/quarantine_desk_base.h"
 #include "entry/root_service_base.h"
 #include "ops/log_base.h"
 
@@ -133,6 +134,7 @@
 void
 cluster_watch::OnRumour(const cluster::rumour& aRumour)
 {
+  mParts.mQuarantine.OnRumour(aRumour);
   if (const auto mark = ReadDrainRumour(aRumour)) {
     if (mark->mListed) {
       const std::set<model::leaf_id> leaf{ mark->mMark.mLeaf };
--- a/src/entry/cluster_watch_base.h
+++ b/src/entry/cluster_watch_base.h
@@ -21,6 +21,7 @@
 class alarm_board;
 class leaf_table;
 class manifest_table;
+class quarantine_desk;
 class root_service;
 
 /** What changes are handed to; all outlives the watch. */
@@ -29,6 +30,7 @@
   manifest_table& mManifests;
   leaf_table& mLeaves;
   root_service& mRoot;
+  quarantine_desk& mQuarantine;
   const ops::log& mLog;
   alarm_board& mAlarms;
   model::instance_id mSelf;
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -18,11 +18,13 @@
 #include "entry/once_service_base.h"
 #include "entry/owner_service_base.h"
 #include "entry/peer_handler_base.h"
+#include "entry/quarantine_desk_base.h"
 #include "entry/query_desk_base.h"
 #include "entry/root_service_base.h"
 #include "entry/settings_map_func.h"
 #include "entry/snapshot_table_base.h"
 #include "entry/ticker_base.h"
+#include "entry/trial_service_base.h"
 #include "entry/worker_pool_base.h"
 #include "net/http_connector_base.h"
 #include "net/http_pool_base.h"
@@ -92,9 +94,11 @@
   manifest_store_source mSource;
   manifest_table mManifests;
   leaf_table mLeaves;
+  quarantine_desk mQuarantine;
   snapshot_table mSnapshots;
   owner_service mOwner;
   root_service mRoot;
+  trial_service mTrials;
   once_service mOnce;
   query_desk mDesk;
   cluster_watch mWatch;
@@ -128,6 +132,8 @@
   , mManifests(
       static_cast<std::size_t>(aSettings.Integer(setting::OwnershipReplicas)))
   , mLeaves(*mConnector, GateOptionsOf(aSettings), LeafHedgeOf(aSettings))
+  , mQuarantine({ *mConnector, mPeers, mLeaves, mManifests, mLog, mId },
+                QuarantineSettingsOf(aSettings))
   , mOwner(*mConnector, mManifests, mLeaves, mId)
   , mRoot({ *mConnector,
             mManifests,
@@ -135,15 +141,29 @@
             { mPeers, mOwner, mSnapshots, mId },
             mDataCentre },
           RootHedgeOf(aSettings))
-  , mOnce({ mRoot,
+  , mTrials({ *mConnector,
+              mPeers,
+              mRoot,
+              mQuarantine,
+              mManifests,
+              mId,
+              static_cast<int>(aSettings.Integer(setting::WorkersPeer)) / 2 })
+  , mOnce({ mTrials,
             mManifests,
             mPeers,
             { mPlatform, *mWorkers, *mConnector },
             { mId, mIncarnation },
             mDataCentre },
           RecordSettingsOf(aSettings))
-  , mDesk({ mRoot, mOnce, mLog })
-  , mWatch({ mManifests, mLeaves, mRoot, mLog, mAlarms, mId, mDataCentre },
+  , mDesk({ mRoot, mTrials, mOnce, mLog })
+  , mWatch({ mManifests,
+             mLeaves,
+             mRoot,
+             mQuarantine,
+             mLog,
+             mAlarms,
+             mId,
+             mDataCentre },
            static_cast<int>(aSettings.Integer(setting::OwnershipReplicas)))
   , mList({ mPlatform, mLeaves, mLog, mId, mDataCentre })
 {
@@ -159,12 +179,19 @@
   settings.mOptions = ClusterOptionsOf(mSettings);
   mTicker = std::make_unique<ticker>(kTick, [this] { OnTick(); });
   mWatch.SetChanged([this] { mTicker->Wake(); });
+  mQuarantine.SetPut([this](const cluster::rumour& aRumour) {
+    if (mNode) {
+      mNode->Put(aRumour);
+    }
+  });
   mNode =
     peer::cluster_node::Start(settings, { mPeers, mSource, mSource, mWatch });
   mPeerHandler = std::make_unique<peer_handler>(peer_routes{
     mOwner,
     [this](const std::string& aBody) { return mNode->HandleRpc(aBody); },
-    [this](const std::string& aBody) { return RunAsHome(aBody); } });
+    [this](const std::string& aBody) { return RunAsHome(aBody); },
+    [this](const std::string& aBody) { return mTrials.RunForwarded(aBody); },
+    [this](const std::string& aBody) { return mQuarantine.OnMarks(aBody); } });
   mCallers = std::make_unique<caller_handler>(caller_routes{
     mDesk,
     [this] { return Ready(); },
@@ -192,6 +219,7 @@
   }
   mList.Poll(*mNode, Now());
   mLeaves.Tick(mWatch.OwnedLeaves());
+  mQuarantine.Tick();
   mRoot.RefreshSnapshots();
 }
 
@@ -230,6 +258,7 @@
   for (const policy::drain_mark& mark : mLeaves.Marks()) {
     out["leaving"].push_back(mark.mLeaf.Value());
   }
+  out["quarantine_marks"] = mQuarantine.Marks();
   out["metrics"] = nlohmann::ordered_json::parse(mMetrics.Summary());
   return out.dump();
 }
@@ -275,13 +304,12 @@
     std::this_thread::sleep_for(kStopPoll);
   }
   const bool quiet = AwaitQuiet(bound);
-  mLog.Write(quiet ? ops::log_level::Info : ops::log_level::Warning,
-             "stopped",
-             { { "quiet", static_cast<long>(quiet) },
-               { "callers_in_flight",
-                 static_cast<long>(mCallers->InFlight()) },
-               { "peers_in_flight",
-                 static_cast<long>(mPeerHandler->InFlight()) } });
+  mLog.Write(
+    quiet ? ops::log_level::Info : ops::log_level::Warning,
+    "stopped",
+    { { "quiet", static_cast<long>(quiet) },
+      { "callers_in_flight", static_cast<long>(mCallers->InFlight()) },
+      { "peers_in_flight", static_cast<long>(mPeerHandler->InFlight()) } });
   return quiet;
 }
 
--- a/src/entry/fanout_driver.cpp
+++ b/src/entry/fanout_driver.cpp
@@ -58,6 +58,9 @@
   policy::fanout_effects effects;
   {
     const std::lock_guard lock(mMutex);
+    if (aResult.mReason == kReasonLeafDied) {
+      mFanout->ForbidExtra();
+    }
     effects = mFanout->OnResult(aResult, Now());
   }
   Carry(effects);
--- a/src/entry/leaf_gate.cpp
+++ b/src/entry/leaf_gate.cpp
@@ -4,6 +4,7 @@
  */
 #include "entry/leaf_gate_base.h"
 
+#include "entry/attempt_sender_base.h"
 #include "entry/clock_func.h"
 #include "entry/leaf_observer_base.h"
 #include "net/http_connector_base.h"
@@ -44,6 +45,10 @@
 void
 leaf_gate::Submit(leaf_job aJob, callback aDone)
 {
+  if (aJob.mAlone) {
+    SubmitAlone(aJob, aDone);
+    return;
+  }
   policy::admission_effects effects;
   {
     const std::lock_guard lock(mMutex);
@@ -57,9 +62,93 @@
   Carry(effects);
 }
 
+/**
+ * The queue drains, so that what waits goes to another replica, and the
+ * attempt is sent when what runs has ended.
+ */
+void
+leaf_gate::SubmitAlone(const leaf_job& aJob, const callback& aDone)
+{
+  const model::attempt_id attempt = aJob.mRequest.mAttempt;
+  const model::duration left = aJob.mItem.mDeadline - Now();
+  policy::admission_effects effects;
+  bool refused = false;
+  {
+    const std::lock_guard lock(mMutex);
+    refused = mAlone.has_value() || mDraining;
+    if (!refused) {
+      mAlone = attempt;
+      pending entry;
+      entry.mJob = aJob;
+      entry.mDone = aDone;
+      mPending.emplace(attempt, std::move(entry));
+      effects = mQueue.SetDraining(true);
+    }
+  }
+  if (refused) {
+    aDone(NotSent(aJob, mLeaf.mId, "reserved"));
+    return;
+  }
+  Carry(effects);
+  StartAlone();
+  mConnector.After(std::max(left, model::duration(0)),
+                   [weak = weak_from_this(), attempt] {
+                     if (const auto self = weak.lock()) {
+                       self->ExpireAlone(attempt);
+                     }
+                   });
+}
+
+void
+leaf_gate::StartAlone()
+{
+  model::attempt_id attempt;
+  {
+    const std::lock_guard lock(mMutex);
+    const bool busy =
+      std::any_of(mPending.begin(), mPending.end(), [](const auto& aEntry) {
+        return aEntry.second.mSent;
+      });
+    if (!mAlone || busy) {
+      return;
+    }
+    attempt = *mAlone;
+    mPending.at(attempt).mSent = true;
+  }
+  Dispatch(attempt);
+}
+
+void
+leaf_gate::ExpireAlone(const model::attempt_id& aAttempt)
+{
+  pending entry;
+  policy::admission_effects effects;
+  {
+    const std::lock_guard lock(mMutex);
+    const auto found = mPending.find(aAttempt);
+    if (mAlone != aAttempt || found == mPending.end() || found->second.mSent) {
+      return;
+    }
+    entry = std::move(found->second);
+    mPending.erase(found);
+    effects = EndAlone();
+  }
+  entry.mDone(NotSent(entry.mJob, mLeaf.mId, link::kReasonExpired));
+  Carry(effects);
+}
+
+/** The leaf serves everybody again. @pre The lock is held. */
+policy::admission_effects
+leaf_gate::EndAlone()
+{
+  mAlone.reset();
+  return mQueue.SetDraining(mDraining);
+}
+
 void
 leaf_gate::Cancel(const model::attempt_id& aAttempt)
 {
+  ExpireAlone(aAttempt);
   bool sent = false;
   policy::admission_effects effects;
   {
@@ -83,7 +172,8 @@
   policy::admission_effects effects;
   {
     const std::lock_guard lock(mMutex);
-    if (mQueue.Draining() == aDraining) {
+    mDraining = aDraining;
+    if (mAlone || mQueue.Draining() == aDraining) {
       return;
     }
     effects = mQueue.SetDraining(aDraining);
@@ -115,6 +205,13 @@
   mLink->Probe(aTimeout, std::move(aDone));
 }
 
+void
+leaf_gate::ProbeLife(model::duration aTimeout,
+                     link::leaf_link::probe_callback aDone)
+{
+  mLink->ProbeLife(aTimeout, std::move(aDone));
+}
+
 void
 leaf_gate::OnTimer()
 {
@@ -206,11 +303,25 @@
     mPending.erase(found);
     const model::instant now = Now();
     took = now - entry.mSentAt;
-    effects = mQueue.OnDone(aAttempt, aEnd.mResult.mOutcome, took, now);
+    effects = mAlone == aAttempt
+                ? EndAlone()
+                : mQueue.OnDone(aAttempt, aEnd.mResult.mOutcome, took, now);
   }
-  mObserver.OnAttemptEnd(mLeaf, entry.mJob, aEnd, took);
-  entry.mDone(aEnd.mResult);
+  const leaf_job job = entry.mJob;
+  mObserver.OnAttemptEnd(
+    mLeaf,
+    job,
+    aEnd,
+    took,
+    [done = std::move(entry.mDone), result = aEnd.mResult](bool aDied) {
+      model::attempt_result told = result;
+      if (aDied) {
+        told.mReason = kReasonLeafDied;
+      }
+      done(told);
+    });
   Carry(effects);
+  StartAlone();
 }
 
 void
--- a/src/entry/leaf_gate_base.h
+++ b/src/entry/leaf_gate_base.h
@@ -53,6 +53,8 @@
   void SetSlots(int aSlots);
   void SetConnections(int aLimit); ///< A new share of the leaf's connections.
   void Probe(model::duration aTimeout, link::leaf_link::state_callback aDone);
+  void ProbeLife(model::duration aTimeout,
+                 link::leaf_link::probe_callback aDone);
   void OnTimer(); ///< Closes idle connections; call each second.
 
   const model::leaf& Leaf() const { return mLeaf; }
@@ -69,6 +71,10 @@
     model::instant mSentAt;
   };
 
+  void SubmitAlone(const leaf_job& aJob, const callback& aDone);
+  void StartAlone();
+  void ExpireAlone(const model::attempt_id& aAttempt);
+  policy::admission_effects EndAlone();
   void Carry(const policy::admission_effects& aEffects);
   void Dispatch(const model::attempt_id& aAttempt);
   void Refuse(const policy::refuse_effect& aEffect);
@@ -84,6 +90,8 @@
   policy::admission_queue mQueue;
   std::unordered_map<model::attempt_id, pending> mPending;
   std::optional<model::instant> mScheduled; ///< The wake-up asked for.
+  bool mDraining = false; ///< As asked for; the queue also drains for mAlone.
+  std::optional<model::attempt_id> mAlone; ///< Has or awaits the whole leaf.
 };
 
 } // namespace monsooncroft::entry
--- a/src/entry/leaf_job_type.h
+++ b/src/entry/leaf_job_type.h
@@ -19,6 +19,7 @@
   policy::admission_item mItem;   ///< Same attempt as in mRequest.
   /** No first byte after this; for requests that run at most once. */
   std::optional<model::wall_instant> mSendBefore;
+  bool mAlone = false; ///< The leaf runs nothing else meanwhile.
 };
 
 } // namespace monsooncroft::entry
--- a/src/entry/leaf_observer_base.h
+++ b/src/entry/leaf_observer_base.h
@@ -8,6 +8,8 @@
 #include "link/leaf_link_base.h"
 #include "model/time_type.h"
 
+#include <functional>
+
 namespace monsooncroft::entry {
 
 struct leaf_job;
@@ -16,11 +18,16 @@
 class leaf_observer
 {
 public:
+  /** Hands the attempt's end on; told whether the leaf died of it, perhaps. */
+  using release = std::function<void(bool)>;
+
   virtual ~leaf_observer() = default;
+  /** @param aRelease To be called once, now or when the fate is known. */
   virtual void OnAttemptEnd(const model::leaf& aLeaf,
                             const leaf_job& aJob,
                             const link::attempt_end& aEnd,
-                            model::duration aTook) = 0;
+                            model::duration aTook,
+                            release aRelease) = 0;
 };
 
 } // namespace monsooncroft::entry
--- a/src/entry/leaf_sender.cpp
+++ b/src/entry/leaf_sender.cpp
@@ -23,13 +23,14 @@
   for (const policy::send_effect& send : aSends) {
     const model::leaf_id leaf(send.mTarget.Value());
     const std::shared_ptr<leaf_gate> gate = mLeaves.Gate(leaf);
-    if (!gate) {
+    const bool allowed = mLeaves.MaySend(mPattern);
+    if (!gate || !allowed) {
       aDone({ send.mAttempt,
               send.mShard,
               leaf,
               model::attempt_outcome::NotSent,
               0,
-              "undeclared",
+              allowed ? "undeclared" : "quarantined",
               "" });
       continue;
     }
--- a/src/entry/leaf_table.cpp
+++ b/src/entry/leaf_table.cpp
@@ -42,6 +42,30 @@
   mOnBoot = std::move(aListener);
 }
 
+void
+leaf_table::SetGuard(send_guard aGuard)
+{
+  mGuard = std::move(aGuard);
+}
+
+bool
+leaf_table::MaySend(const leaf_job& aJob) const
+{
+  return !mGuard || mGuard(aJob);
+}
+
+bool
+leaf_table::AskLife(const model::leaf_id& aLeaf,
+                    model::duration aTimeout,
+                    link::leaf_link::probe_callback aDone)
+{
+  const std::shared_ptr<leaf_gate> gate = Gate(aLeaf);
+  if (gate) {
+    gate->ProbeLife(aTimeout, std::move(aDone));
+  }
+  return gate != nullptr;
+}
+
 void
 leaf_table::Adopt(const model::manifest& aManifest, int aOwners)
 {
@@ -283,7 +307,7 @@
     mDrains.OnReply(aLeaf, aBoot, aDraining, now);
     mWarmup.OnReply(aLeaf, aBoot, now);
     policy::boot_id& known = mBoots[aLeaf];
-    newBoot = !known.Empty() && known != aBoot;
+    newBoot = known != aBoot;
     known = aBoot;
   }
   if (newBoot && mOnBoot) {
@@ -313,7 +337,8 @@
 leaf_table::OnAttemptEnd(const model::leaf& aLeaf,
                          const leaf_job& aJob,
                          const link::attempt_end& aEnd,
-                         model::duration aTook)
+                         model::duration aTook,
+                         release aRelease)
 {
   const link::execute_request& request = aJob.mRequest;
   Budget(request.mService, request.mKind)->OnLatency(aTook, Now());
@@ -336,8 +361,11 @@
     ApplyDrain(aLeaf.mId);
   }
   if (mOnLoss && (aEnd.mConnectRefused || aEnd.mConnectionDied)) {
-    mOnLoss({ aLeaf.mId, aJob, aEnd.mConnectRefused, aEnd.mConnectionDied });
+    mOnLoss({ aLeaf.mId, aJob, aEnd.mConnectRefused, aEnd.mConnectionDied },
+            std::move(aRelease));
+    return;
   }
+  aRelease(false);
 }
 
 } // namespace monsooncroft::entry
--- a/src/entry/leaf_table_base.h
+++ b/src/entry/leaf_table_base.h
@@ -42,7 +42,9 @@
 class leaf_table : public leaf_observer
 {
 public:
-  using loss_listener = std::function<void(const leaf_loss&)>;
+  /** Takes over the release of the attempt's end. */
+  using loss_listener = std::function<void(const leaf_loss&, release)>;
+  using send_guard = std::function<bool(const leaf_job&)>;
   using boot_listener =
     std::function<void(const model::leaf_id&, const policy::boot_id&)>;
 
@@ -55,8 +57,10 @@
              const gate_options& aOptions,
              const hedge_options& aHedge);
 
-  void SetLosses(loss_listener aListener); ///< @pre Before any work.
-  void SetBoots(boot_listener aListener);  ///< @pre Before any work.
+  void SetLosses(loss_listener aListener);  ///< @pre Before any work.
+  void SetBoots(boot_listener aListener);   ///< @pre Before any work.
+  void SetGuard(send_guard aGuard);         ///< @pre Before any work.
+  bool MaySend(const leaf_job& aJob) const; ///< Whether the guard allows it.
 
   /**
    * Takes over a manifest: leaves that left it are forgotten.
@@ -85,6 +89,10 @@
 
   /** Asks the leaves for their state; due ones only. Call each second. */
   void Tick(const std::set<model::leaf_id>& aOwned);
+  /** Asks a leaf at once whether it lives; false if it is not declared. */
+  bool AskLife(const model::leaf_id& aLeaf,
+               model::duration aTimeout,
+               link::leaf_link::probe_callback aDone);
   /** Whether each of these has been asked for its state, answered or not. */
   bool Looked(const std::set<model::leaf_id>& aLeaves) const;
   std::size_t Connections() const; ///< Open ones, over all leaves.
@@ -92,7 +100,8 @@
   void OnAttemptEnd(const model::leaf& aLeaf,
                     const leaf_job& aJob,
                     const link::attempt_end& aEnd,
-                    model::duration aTook) override;
+                    model::duration aTook,
+                    release aRelease) override;
 
 private:
   /** One leaf. */
@@ -119,6 +128,7 @@
   hedge_options mHedge;
   loss_listener mOnLoss;
   boot_listener mOnBoot;
+  send_guard mGuard;
   mutable ranked_mutex mMutex{ lock_rank::Tables };
   std::map<model::leaf_id, entry> mLeaves;
   int mOwners = 1;
--- a/src/entry/once_service.cpp
+++ b/src/entry/once_service.cpp
@@ -11,6 +11,7 @@
 #include "entry/clock_func.h"
 #include "entry/manifest_table_base.h"
 #include "entry/relay_codec_func.h"
+#include "entry/trial_service_base.h"
 #include "net/http_pool_base.h"
 #include "once/home_func.h"
 #include "policy/answer_func.h"
@@ -129,15 +130,21 @@
 {
   const once::request_hash request = once::HashRequest(aQuery);
   once::arrival_result arrival;
+  running run;
   {
     const std::lock_guard lock(mMutex);
     arrival = mMemory.Arrive(request, once::HashContent(aQuery), Now());
+    if (arrival.mKind == once::arrival::First) {
+      mRunning[request] = std::make_shared<std::optional<model::answer>>();
+    }
+    const auto known = mRunning.find(request);
+    run = known == mRunning.end() ? nullptr : known->second;
   }
   switch (arrival.mKind) {
     case once::arrival::First:
       break;
     case once::arrival::Running:
-      return AwaitRunning(aQuery, aArrived + Allowed(aQuery, aContract));
+      return AwaitRunning(aQuery, run, aArrived + Allowed(aQuery, aContract));
     case once::arrival::Stored:
       return arrival.mAnswer.value();
     case once::arrival::Reused:
@@ -149,26 +156,23 @@
   {
     const std::lock_guard lock(mMutex);
     mMemory.Finish(request, answer, Now());
+    *run = answer;
+    mRunning.erase(request);
   }
   mFinished.notify_all();
   return answer;
 }
 
+/** A run that ended as not run is forgotten by the memory, so its answer is
+ * taken from the run itself. */
 model::answer
-once_service::AwaitRunning(const model::query& aQuery, model::instant aDeadline)
+once_service::AwaitRunning(const model::query& aQuery,
+                           const running& aRun,
+                           model::instant aDeadline)
 {
-  const once::request_hash request = once::HashRequest(aQuery);
-  const once::content_hash content = once::HashContent(aQuery);
-  std::optional<once::arrival_result> found;
   std::unique_lock lock(mMutex);
-  mFinished.wait_until(lock, aDeadline, [&] {
-    found = mMemory.Find(request, content, Now());
-    return !found || found->mKind != once::arrival::Running;
-  });
-  if (found && found->mKind == once::arrival::Stored) {
-    return found->mAnswer.value();
-  }
-  return Unknown(aQuery, found ? "still_running" : "not_run_elsewhere");
+  mFinished.wait_until(lock, aDeadline, [&] { return aRun->has_value(); });
+  return aRun->has_value() ? **aRun : Unknown(aQuery, "still_running");
 }
 
 model::answer
@@ -200,7 +204,7 @@
   terms.mArrived = aArrived;
   terms.mSendBefore = aPermit.mBeforeWall;
   terms.mNoExtra = true;
-  return mParts.mRoot.Run(aQuery, terms);
+  return mParts.mTrials.Run(aQuery, terms);
 }
 
 once::verdict
--- a/src/entry/once_service_base.h
+++ b/src/entry/once_service_base.h
@@ -12,6 +12,7 @@
 #include "once/answer_memory_base.h"
 
 #include <condition_variable>
+#include <map>
 #include <vector>
 
 namespace monsooncroft::net {
@@ -21,11 +22,12 @@
 namespace monsooncroft::entry {
 
 class manifest_table;
+class trial_service;
 
 /** What the service uses; all outlives it. */
 struct once_parts
 {
-  root_service& mRoot;
+  trial_service& mTrials;
   manifest_table& mManifests;
   net::http_pool& mPool;
   record_parts mRecord;
@@ -67,7 +69,11 @@
                          const once::send_permit& aPermit,
                          model::instant aArrived);
   once::verdict Record(const model::query& aQuery, model::instant aGiveUpAt);
+  /** A run under way; its answer once it has one. */
+  using running = std::shared_ptr<std::optional<model::answer>>;
+
   model::answer AwaitRunning(const model::query& aQuery,
+                             const running& aRun,
                              model::instant aDeadline);
   model::answer AnswerOf(const model::query& aQuery,
                          const once::verdict& aVerdict) const;
@@ -81,6 +87,7 @@
   ranked_mutex mMutex{ lock_rank::Record };
   std::condition_variable_any mFinished; ///< Some request has its answer.
   once::answer_memory mMemory;
+  std::map<once::request_hash, running> mRunning;
 };
 
 } // namespace monsooncroft::entry
--- a/src/entry/owner_service.cpp
+++ b/src/entry/owner_service.cpp
@@ -34,6 +34,7 @@
   job.mItem.mWeight = aTenant == nullptr ? 1 : aTenant->mWeight;
   job.mItem.mDeadline = aDeadline;
   job.mSendBefore = aRequest.mSendBefore;
+  job.mAlone = aRequest.mAlone;
   return job;
 }
 
--- a/src/entry/peer_handler.cpp
+++ b/src/entry/peer_handler.cpp
@@ -63,14 +63,27 @@
     return Ok(mRoutes.mRpc(aRequest.mBody));
   }
   if (aRequest.mTarget == kRunTarget) {
-    std::string answer = mRoutes.mRun(aRequest.mBody);
-    return answer.empty() ? Bad("query") : Ok(std::move(answer));
+    return Hand(mRoutes.mRun, aRequest.mBody);
+  }
+  if (aRequest.mTarget == kTrialTarget) {
+    return Hand(mRoutes.mTrial, aRequest.mBody);
+  }
+  if (aRequest.mTarget == kMarksTarget) {
+    return Hand(mRoutes.mMarks, aRequest.mBody);
   }
   net::http_response response = Bad("target");
   response.mStatus = net::kHttpNotFound;
   return response;
 }
 
+net::http_response
+peer_handler::Hand(const std::function<std::string(const std::string&)>& aTaker,
+                   const std::string& aBody)
+{
+  std::string answer = aTaker(aBody);
+  return answer.empty() ? Bad("body") : Ok(std::move(answer));
+}
+
 net::http_response
 peer_handler::Relay(const std::string& aBody)
 {
--- a/src/entry/peer_handler_base.h
+++ b/src/entry/peer_handler_base.h
@@ -22,6 +22,10 @@
   std::function<std::string(const std::string&)> mRpc; ///< Body of POST /rpc.
   /** Body of POST /peer/run; the answer's JSON, empty for a bad query. */
   std::function<std::string(const std::string&)> mRun;
+  /** Body of POST /peer/trial; as mRun. */
+  std::function<std::string(const std::string&)> mTrial;
+  /** Body of POST /peer/marks; empty for a bad one. */
+  std::function<std::string(const std::string&)> mMarks;
 };
 
 /** Requests on the peer address. Thread safe. */
@@ -35,6 +39,9 @@
 
 private:
   net::http_response Route(const net::http_request& aRequest);
+  static net::http_response Hand(
+    const std::function<std::string(const std::string&)>& aTaker,
+    const std::string& aBody);
   net::http_response Relay(const std::string& aBody);
   net::http_response Held(const std::string& aBody);
   net::http_response Cancel(const std::string& aBody);
--- a/src/entry/query_desk.cpp
+++ b/src/entry/query_desk.cpp
@@ -9,6 +9,7 @@
 #include "entry/clock_func.h"
 #include "entry/once_service_base.h"
 #include "entry/root_service_base.h"
+#include "entry/trial_service_base.h"
 #include "ops/log_base.h"
 
 namespace monsooncroft::entry {
@@ -37,7 +38,9 @@
   } else if (contract && !contract->mIdempotent) {
     answer = mParts.mOnce.Answer(aQuery, *contract, arrived);
   } else {
-    answer = mParts.mRoot.Run(aQuery, { arrived, std::nullopt, false });
+    run_terms terms;
+    terms.mArrived = arrived;
+    answer = mParts.mTrials.Run(aQuery, terms);
   }
   Log(aQuery, answer);
   return ToResponse(answer);
--- a/src/entry/query_desk_base.h
+++ b/src/entry/query_desk_base.h
@@ -18,11 +18,13 @@
 
 class once_service;
 class root_service;
+class trial_service;
 
 /** What the desk uses; all outlives it. */
 struct desk_parts
 {
   root_service& mRoot;
+  trial_service& mTrials;
   once_service& mOnce;
   const ops::log& mLog;
 };
--- a/src/entry/relay_codec.cpp
+++ b/src/entry/relay_codec.cpp
@@ -67,6 +67,7 @@
       std::chrono::milliseconds(aValue["send_before_ms"].get<long>()));
   }
   request.mNoExtra = aValue.at("no_extra");
+  request.mAlone = aValue.value("alone", false);
   for (const json& shard : aValue.at("shards")) {
     request.mShards.push_back(
       { model::shard_id(shard.at(0).get<std::string>()),
@@ -131,6 +132,7 @@
     out["send_before_ms"] = aRequest.mSendBefore->time_since_epoch().count();
   }
   out["no_extra"] = aRequest.mNoExtra;
+  out["alone"] = aRequest.mAlone;
   json& shards = out["shards"] = json::array();
   for (const relay_shard& shard : aRequest.mShards) {
     shards.push_back({ shard.mShard.Value(), shard.mAttempt.Value() });
--- a/src/entry/relay_codec_func.h
+++ b/src/entry/relay_codec_func.h
@@ -13,6 +13,8 @@
 constexpr const char* kCancelTarget = "/peer/cancel";
 constexpr const char* kHeldTarget = "/peer/held";
 constexpr const char* kRunTarget = "/peer/run";
+constexpr const char* kTrialTarget = "/peer/trial";
+constexpr const char* kMarksTarget = "/peer/marks";
 constexpr const char* kRpcTarget = "/rpc";
 
 std::string
--- a/src/entry/relay_type.h
+++ b/src/entry/relay_type.h
@@ -35,6 +35,7 @@
   model::duration mRemaining{ 0 }; ///< Until the reply must leave.
   std::optional<model::wall_instant> mSendBefore; ///< See leaf_job.
   bool mNoExtra = false; ///< Neither hedge nor retry after a maybe-run.
+  bool mAlone = false;   ///< On leaves that run nothing else meanwhile.
   std::vector<relay_shard> mShards;
   std::string mBody; ///< JSON for the leaves.
 };
--- a/src/entry/root_service.cpp
+++ b/src/entry/root_service.cpp
@@ -26,6 +26,29 @@
 constexpr model::duration kAnswerMargin{ 3000 };
 /** A second run at another snapshot needs at least this. */
 constexpr model::duration kLeastReplanTime{ 5000 };
+/** A shard that goes first alone gets this part of the time, one in so many:
+ * a slow leaf must not cost the other shards their time. */
+constexpr int kFirstPart = 3;
+
+/** Whether a leaf died with an attempt of this run in flight. */
+bool
+LeafDied(const policy::fanout_report& aReport)
+{
+  return std::any_of(aReport.mShards.begin(),
+                     aReport.mShards.end(),
+                     [](const policy::shard_report& aShard) {
+                       return aShard.mLast.mReason == kReasonLeafDied;
+                     });
+}
+
+bool
+AllAre(const policy::fanout_report& aReport, policy::shard_fate aFate)
+{
+  return std::all_of(
+    aReport.mShards.begin(),
+    aReport.mShards.end(),
+    [=](const policy::shard_report& aShard) { return aShard.mFate == aFate; });
+}
 
 } // namespace
 
@@ -179,6 +202,9 @@
                                  *pin.mService,
                                  *pin.mContract,
                                  pin.mManifest->Version());
+    if (LeafDied(end.mReport)) {
+      answer.mReason = kReasonLeafDied;
+    }
   }
   Record(aQuery, aTerms, answer, pin, leafAttempts);
   return answer;
@@ -191,6 +217,56 @@
 {
   run_end end;
   end.mPlan = PlanOf(aQuery, aPinned);
+  std::vector<policy::shard_plan> shards = end.mPlan.mShards;
+  if (aTerms.mAlone) {
+    // The first death was at the first shard; its other replica is needed.
+    std::reverse(shards.begin(), shards.end());
+  }
+  std::size_t sent = 0;
+  bool first = aTerms.mFirstAlone;
+  policy::fanout_plan part = end.mPlan;
+  while (sent < shards.size() && !LeafDied(end.mReport)) {
+    const bool one = aTerms.mAlone || first;
+    const auto from = shards.begin() + static_cast<std::ptrdiff_t>(sent);
+    part.mShards.assign(from, one ? from + 1 : shards.end());
+    part.mAttemptPrefix += first ? "f." : std::to_string(sent) + ".";
+    sent += part.mShards.size();
+    const bool more = first && sent < shards.size();
+    part.mDeadline = more ? Now() + (aPinned.mDeadline - Now()) / kFirstPart
+                          : aPinned.mDeadline;
+    FanOutPart(aQuery, aTerms, aPinned, part, end);
+    const bool again = more && end.mPlan.mIdempotent &&
+                       !LeafDied(end.mReport) &&
+                       !AllAre(end.mReport, policy::shard_fate::Answered);
+    if (again) {
+      // Slow or unreachable, but nothing died: it goes with the others.
+      end.mReport.mShards.clear();
+      sent = 0;
+    }
+    first = false;
+  }
+  for (; sent < shards.size(); ++sent) {
+    policy::shard_report held;
+    held.mShard = shards[sent].mShard;
+    held.mLast.mReason = "held_back";
+    end.mReport.mShards.push_back(std::move(held));
+  }
+  if (aTerms.mAlone) {
+    std::reverse(end.mReport.mShards.begin(), end.mReport.mShards.end());
+  }
+  end.mCanReplan =
+    end.mCanReplan && !LeafDied(end.mReport) &&
+    (end.mPlan.mIdempotent || AllAre(end.mReport, policy::shard_fate::NotRun));
+  return end;
+}
+
+void
+root_service::FanOutPart(const model::query& aQuery,
+                         const run_terms& aTerms,
+                         const pinned& aPinned,
+                         const policy::fanout_plan& aPart,
+                         run_end& aEnd)
+{
   relay_request pattern;
   pattern.mRequest = aQuery.mRequest;
   pattern.mService = aQuery.mService;
@@ -200,15 +276,16 @@
   pattern.mSnapshot = aPinned.mSnapshot;
   pattern.mSendBefore = aTerms.mSendBefore;
   pattern.mNoExtra = aTerms.mNoExtra;
+  pattern.mAlone = aTerms.mAlone;
   pattern.mBody = aQuery.mBody;
   const auto budget = Budget(aQuery);
   const auto sender = std::make_shared<owner_sender>(mParts.mLinks,
                                                      aPinned.mOwners->View(),
                                                      std::move(pattern),
-                                                     aPinned.mDeadline,
+                                                     aPart.mDeadline,
                                                      budget);
   auto decisions = std::make_unique<policy::fanout>(
-    end.mPlan, *budget, *budget, static_cast<std::uint32_t>(mNumber));
+    aPart, *budget, *budget, static_cast<std::uint32_t>(mNumber));
   if (aTerms.mNoExtra) {
     decisions->ForbidExtra();
   }
@@ -220,10 +297,11 @@
     promise->set_value();
   });
   promise->get_future().wait();
-  end.mReport = driver->Fanout().Report();
-  end.mCanReplan = driver->Fanout().CanReplan();
-  end.mLeafAttempts = sender->LeafAttempts();
-  return end;
+  for (policy::shard_report& shard : driver->Fanout().Report().mShards) {
+    aEnd.mReport.mShards.push_back(std::move(shard));
+  }
+  aEnd.mCanReplan = aEnd.mCanReplan || driver->Fanout().CanReplan();
+  aEnd.mLeafAttempts += sender->LeafAttempts();
 }
 
 policy::fanout_plan
--- a/src/entry/root_service_base.h
+++ b/src/entry/root_service_base.h
@@ -53,7 +53,9 @@
 {
   model::instant mArrived;
   std::optional<model::wall_instant> mSendBefore; ///< See leaf_job.
-  bool mNoExtra = false; ///< Neither hedge nor retry after a maybe-run.
+  bool mNoExtra = false;    ///< Neither hedge nor retry after a maybe-run.
+  bool mFirstAlone = false; ///< One shard first, the others after its reply.
+  bool mAlone = false;      ///< Shard by shard, each leaf running nothing else.
 };
 
 /** Runs queries; each blocks its worker. Thread safe; lock rank Tables. */
@@ -109,6 +111,11 @@
   run_end FanOut(const model::query& aQuery,
                  const run_terms& aTerms,
                  const pinned& aPinned);
+  void FanOutPart(const model::query& aQuery,
+                  const run_terms& aTerms,
+                  const pinned& aPinned,
+                  const policy::fanout_plan& aPart,
+                  run_end& aEnd);
   policy::fanout_plan PlanOf(const model::query& aQuery, const pinned& aPinned);
   std::vector<policy::target_id> Candidates(const model::shard& aShard,
                                             const pinned& aPinned,
--- a/src/entry/settings_map.cpp
+++ b/src/entry/settings_map.cpp
@@ -90,6 +90,16 @@
   return settings;
 }
 
+once::quarantine_settings
+QuarantineSettingsOf(const config::settings& aSettings)
+{
+  once::quarantine_settings settings;
+  settings.mScreening = aSettings.Boolean(setting::QuarantineScreen)
+                          ? once::screening::Always
+                          : once::screening::AfterDeath;
+  return settings;
+}
+
 cluster::cluster_options
 ClusterOptionsOf(const config::settings& aSettings)
 {
--- a/src/entry/settings_map_func.h
+++ b/src/entry/settings_map_func.h
@@ -9,6 +9,7 @@
 #include "entry/leaf_gate_base.h"
 #include "entry/shared_budget_base.h"
 #include "net/http_server_base.h"
+#include "once/quarantine_type.h"
 #include "once/record_type.h"
 #include "ops/log_base.h"
 #include "platform/platform_client_base.h"
@@ -32,6 +33,8 @@
 PlatformOptionsOf(const config::settings& aSettings);
 once::record_settings
 RecordSettingsOf(const config::settings& aSettings);
+once::quarantine_settings
+QuarantineSettingsOf(const config::settings& aSettings);
 cluster::cluster_options
 ClusterOptionsOf(const config::settings& aSettings);
 net::http_server_options
--- a/src/link/leaf_link.cpp
+++ b/src/link/leaf_link.cpp
@@ -85,10 +85,17 @@
   }
 
   void Probe(model::duration aTimeout, state_callback aDone) override
+  {
+    ProbeLife(aTimeout, [done = std::move(aDone)](const probe_end& aEnd) {
+      done(aEnd.mState);
+    });
+  }
+
+  void ProbeLife(model::duration aTimeout, probe_callback aDone) override
   {
     const taken use = Take(true);
     if (use.mKind == pick_kind::Full) {
-      aDone(std::nullopt);
+      aDone({});
       return;
     }
     use.mConnection->Exchange(
@@ -97,7 +104,9 @@
       [self = shared_from_this(), use, done = std::move(aDone)](
         const net::exchange_result& aResult) {
         self->End(use, EndOf(aResult));
-        done(StateOf(aResult));
+        const bool refused =
+          aResult.mError == net::exchange_error::ConnectRefused;
+        done({ StateOf(aResult), refused });
       });
   }
 
--- a/src/link/leaf_link_base.h
+++ b/src/link/leaf_link_base.h
@@ -28,6 +28,13 @@
     false; ///< The other end closed or reset it with the attempt in flight.
 };
 
+/** What a question for the leaf's state came to. */
+struct probe_end
+{
+  std::optional<leaf_state> mState; ///< If the leaf said it in time.
+  bool mConnectRefused = false;     ///< The leaf's port refused.
+};
+
 /** Words in attempt_result::mReason that the link itself gives. */
 constexpr const char* kReasonNoConnection = "no_connection";
 constexpr const char* kReasonConnectRefused = "connect_refused";
@@ -49,6 +56,7 @@
   using clock = std::function<model::instant()>;
   using attempt_callback = std::function<void(const attempt_end&)>;
   using state_callback = std::function<void(const std::optional<leaf_state>&)>;
+  using probe_callback = std::function<void(const probe_end&)>;
   using gate = std::function<bool()>;
 
   virtual ~leaf_link() = default;
@@ -85,6 +93,9 @@
   /** Asks for the leaf's state; nothing if it does not say in time. */
   virtual void Probe(model::duration aTimeout, state_callback aDone) = 0;
 
+  /** As Probe, and says whether the connection was refused. */
+  virtual void ProbeLife(model::duration aTimeout, probe_callback aDone) = 0;
+
   virtual void SetLimit(int aLimit) = 0; ///< A new share of connections.
   virtual void OnTimer() = 0; ///< Closes idle connections; call each second.
   virtual std::size_t Connections() const = 0; ///< Open ones.
