ops, entry: status and metrics show attempts, answers, platform calls

Cause: /v1/status had no hedges, retries, refusals by reason, platform calls, nor answers that never ran (a limit, the record), and named member states by number. Logs of the instances were not tested.

Weighed: counting in the fan-out (policy has no metrics and its golden files would change); counting at the gate (sees no hedge). attempt_count at the leaf sender sees both. Labelled counters keep 256 series, as reasons come from leaves. Bad queries are counted and not logged: their faults quote what the caller sent.

Not tried: a log that leaks.

--- a/src/entry/caller_handler.cpp
+++ b/src/entry/caller_handler.cpp
@@ -91,9 +91,7 @@
 {
   const auto query = config::ParseQuery(aBody, mRoutes.mMaxQueryBytes);
   if (!query) {
-    net::http_response response = Json(config::EmitBadQuery(query.error()));
-    response.mStatus = net::kHttpBadRequest;
-    return response;
+    return mRoutes.mDesk.Refuse(query.error());
   }
   return mRoutes.mDesk.Answer(query.value());
 }
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -22,6 +22,7 @@
 #include "entry/root_service_base.h"
 #include "entry/settings_map_func.h"
 #include "entry/snapshot_table_base.h"
+#include "entry/status_page_func.h"
 #include "entry/ticker_base.h"
 #include "entry/worker_pool_base.h"
 #include "net/http_connector_base.h"
@@ -70,7 +71,7 @@
 
 private:
   bool Ready() const;
-  std::string Status() const;
+  status_view View() const;
   std::string Explain(const std::string& aBody);
   std::string RunAsHome(const std::string& aBody);
   void OnTick();
@@ -128,7 +129,7 @@
   , mManifests(
       static_cast<std::size_t>(aSettings.Integer(setting::OwnershipReplicas)))
   , mLeaves(*mConnector, GateOptionsOf(aSettings), LeafHedgeOf(aSettings))
-  , mOwner(*mConnector, mManifests, mLeaves, mId)
+  , mOwner(*mConnector, mManifests, mLeaves, mMetrics, mId)
   , mRoot({ *mConnector,
             mManifests,
             mMetrics,
@@ -142,7 +143,7 @@
             { mId, mIncarnation },
             mDataCentre },
           RecordSettingsOf(aSettings))
-  , mDesk({ mRoot, mOnce, mLog })
+  , mDesk({ mRoot, mOnce, mLog, mMetrics })
   , mWatch({ mManifests, mLeaves, mRoot, mLog, mAlarms, mId, mDataCentre },
            static_cast<int>(aSettings.Integer(setting::OwnershipReplicas)))
   , mList({ mPlatform, mLeaves, mLog, mId, mDataCentre })
@@ -168,8 +169,8 @@
   mCallers = std::make_unique<caller_handler>(caller_routes{
     mDesk,
     [this] { return Ready(); },
-    [this] { return Status(); },
-    [this] { return mMetrics.Exposition(); },
+    [this] { return StatusPage(View(), mMetrics); },
+    [this] { return MetricsPage(View(), mMetrics); },
     [this](const std::string& aBody) { return Explain(aBody); },
     static_cast<std::size_t>(mSettings.Integer(setting::QueryBodyLimit)) });
   mPeerServer = net::http_server::Start(PeerServerOf(mSettings), *mPeerHandler);
@@ -202,36 +203,24 @@
          mLeaves.Looked(mWatch.OwnedLeaves());
 }
 
-std::string
-instance::Status() const
+status_view
+instance::View() const
 {
   const model::manifest_ptr manifest = mManifests.Current();
-  nlohmann::ordered_json out;
-  out["instance"] = mId.Value();
-  out["data_centre"] = mDataCentre.Value();
-  out["manifest"] = manifest ? manifest->Version() : 0;
-  out["ready"] = Ready();
-  out["stopping"] = mStopping.load();
-  out["alarms"] = mAlarms.Texts();
-  out["in_flight"] = mCallers->InFlight();
-  out["leaf_connections"] = mLeaves.Connections();
-  out["members"] = nlohmann::ordered_json::array();
-  if (const cluster::member_view_ptr view = mManifests.View()) {
-    for (const auto& [dataCentre, members] : view->Lists()) {
-      for (const cluster::member& member : *members) {
-        out["members"].push_back(
-          { { "instance", member.mId.Value() },
-            { "data_centre", dataCentre.Value() },
-            { "state", static_cast<int>(member.mState) } });
-      }
-    }
-  }
-  out["leaving"] = nlohmann::ordered_json::array();
-  for (const policy::drain_mark& mark : mLeaves.Marks()) {
-    out["leaving"].push_back(mark.mLeaf.Value());
-  }
-  out["metrics"] = nlohmann::ordered_json::parse(mMetrics.Summary());
-  return out.dump();
+  status_view view;
+  view.mInstance = mId;
+  view.mDataCentre = mDataCentre;
+  view.mManifest = manifest ? manifest->Version() : 0;
+  view.mReady = Ready();
+  view.mStopping = mStopping;
+  view.mAlarms = mAlarms.Texts();
+  view.mCallersInFlight = mCallers->InFlight();
+  view.mPeersInFlight = mPeerHandler->InFlight();
+  view.mLeafConnections = mLeaves.Connections();
+  view.mPlatform = mPlatform.Calls();
+  view.mMembers = mManifests.View();
+  view.mLeaving = mLeaves.Marks();
+  return view;
 }
 
 std::string
--- a/src/entry/leaf_sender_base.h
+++ b/src/entry/leaf_sender_base.h
@@ -8,8 +8,11 @@
 #include "entry/attempt_sender_base.h"
 #include "entry/leaf_job_type.h"
 
+#include <memory>
+
 namespace monsooncroft::entry {
 
+class attempt_count;
 class leaf_table;
 
 /** Targets are leaves. */
@@ -19,8 +22,11 @@
   /**
    * @param aLeaves The leaves; outlives this.
    * @param aPattern The job of each attempt but for attempt and shard.
+   * @param aCount Counts the attempts.
    */
-  leaf_sender(leaf_table& aLeaves, leaf_job aPattern);
+  leaf_sender(leaf_table& aLeaves,
+              leaf_job aPattern,
+              std::shared_ptr<attempt_count> aCount);
 
   void Send(const std::vector<policy::send_effect>& aSends,
             const callback& aDone) override;
@@ -29,6 +35,7 @@
 private:
   leaf_table& mLeaves;
   leaf_job mPattern;
+  std::shared_ptr<attempt_count> mCount;
 };
 
 } // namespace monsooncroft::entry
--- a/src/entry/owner_service.cpp
+++ b/src/entry/owner_service.cpp
@@ -4,6 +4,7 @@
  */
 #include "entry/owner_service_base.h"
 
+#include "entry/attempt_count_base.h"
 #include "entry/clock_func.h"
 #include "entry/fanout_driver_base.h"
 #include "entry/leaf_sender_base.h"
@@ -42,10 +43,12 @@
 owner_service::owner_service(net::http_connector& aTimers,
                              manifest_table& aManifests,
                              leaf_table& aLeaves,
+                             ops::metrics& aMetrics,
                              const model::instance_id& aSelf)
   : mTimers(aTimers)
   , mManifests(aManifests)
   , mLeaves(aLeaves)
+  , mMetrics(aMetrics)
   , mPrefix(aSelf.Value() + "." +
             std::to_string(WallNow().time_since_epoch().count()) + ".o")
 {
@@ -77,7 +80,8 @@
   }
   const auto driver = std::make_shared<fanout_driver>(
     mTimers,
-    std::make_shared<leaf_sender>(mLeaves, pattern),
+    std::make_shared<leaf_sender>(
+      mLeaves, pattern, std::make_shared<attempt_count>(mMetrics)),
     std::move(decisions));
   Remember(aRequest, driver);
   // The budget and the driver live until the run is over.
--- a/src/entry/owner_service_base.h
+++ b/src/entry/owner_service_base.h
@@ -17,6 +17,10 @@
 class http_connector;
 }
 
+namespace monsooncroft::ops {
+class metrics;
+}
+
 namespace monsooncroft::entry {
 
 class fanout_driver;
@@ -32,11 +36,13 @@
    * @param aTimers Gives wake-ups.
    * @param aManifests The manifests.
    * @param aLeaves The leaves.
+   * @param aMetrics Gets the counts of attempts.
    * All outlive this.
    */
   owner_service(net::http_connector& aTimers,
                 manifest_table& aManifests,
                 leaf_table& aLeaves,
+                ops::metrics& aMetrics,
                 const model::instance_id& aSelf);
 
   /** Runs the shards; @p aDone is called once, before the time runs out. */
@@ -74,6 +80,7 @@
   net::http_connector& mTimers;
   manifest_table& mManifests;
   leaf_table& mLeaves;
+  ops::metrics& mMetrics;
   std::string mPrefix; ///< Of attempt ids; unique to this process.
   std::atomic<unsigned long> mNumber{ 0 }; ///< Runs so far.
   ranked_mutex mMutex{ lock_rank::Tables };
--- a/src/entry/query_desk.cpp
+++ b/src/entry/query_desk.cpp
@@ -10,6 +10,7 @@
 #include "entry/once_service_base.h"
 #include "entry/root_service_base.h"
 #include "ops/log_base.h"
+#include "ops/metrics_base.h"
 
 namespace monsooncroft::entry {
 
@@ -23,11 +24,7 @@
 {
   const model::instant arrived = Now();
   if (const auto bad = mParts.mRoot.Check(aQuery)) {
-    net::http_response response;
-    response.mStatus = net::kHttpBadRequest;
-    response.mBody =
-      config::EmitBadQuery({ { "/" + bad->mField, "", bad->mReason } });
-    return response;
+    return Refuse({ { "/" + bad->mField, "", bad->mReason } });
   }
   model::answer answer;
   const std::optional<model::contract> contract =
@@ -39,13 +36,32 @@
   } else {
     answer = mParts.mRoot.Run(aQuery, { arrived, std::nullopt, false });
   }
-  Log(aQuery, answer);
+  Report(aQuery, answer);
   return ToResponse(answer);
 }
 
+net::http_response
+query_desk::Refuse(const config::config_errors& aErrors)
+{
+  // Not logged: the faults quote what the caller sent.
+  mParts.mMetrics.Count("bad_queries");
+  net::http_response response;
+  response.mStatus = net::kHttpBadRequest;
+  response.mBody = config::EmitBadQuery(aErrors);
+  return response;
+}
+
 void
-query_desk::Log(const model::query& aQuery, const model::answer& aAnswer) const
+query_desk::Report(const model::query& aQuery,
+                   const model::answer& aAnswer) const
 {
+  mParts.mMetrics.Count(
+    "answers",
+    { { "service", aQuery.mService.Value() },
+      { "kind", aQuery.mKind.Value() },
+      { "tenant", aQuery.mTenant.Value() },
+      { "status", std::string(model::ToString(aAnswer.mStatus)) },
+      { "reason", aAnswer.mReason } });
   const bool fine = aAnswer.mStatus == model::status::Complete;
   mParts.mLog.Write(
     fine ? ops::log_level::Debug : ops::log_level::Info,
--- a/src/entry/query_desk_base.h
+++ b/src/entry/query_desk_base.h
@@ -5,6 +5,7 @@
 #ifndef MONSOONCROFT_ENTRY_QUERY_DESK_BASE_H
 #define MONSOONCROFT_ENTRY_QUERY_DESK_BASE_H
 
+#include "config/config_error_type.h"
 #include "model/answer_type.h"
 #include "net/http_type.h"
 
@@ -12,6 +13,7 @@
 
 namespace monsooncroft::ops {
 class log;
+class metrics;
 }
 
 namespace monsooncroft::entry {
@@ -25,6 +27,7 @@
   root_service& mRoot;
   once_service& mOnce;
   const ops::log& mLog;
+  ops::metrics& mMetrics;
 };
 
 /** Decides on which way a query is answered. Thread safe. */
@@ -36,8 +39,11 @@
   /** Answers a caller's query; blocks its worker. */
   net::http_response Answer(const model::query& aQuery);
 
+  /** The answer to a query that is none. */
+  net::http_response Refuse(const config::config_errors& aErrors);
+
 private:
-  void Log(const model::query& aQuery, const model::answer& aAnswer) const;
+  void Report(const model::query& aQuery, const model::answer& aAnswer) const;
 
   desk_parts mParts;
 };
--- a/src/ops/metrics.cpp
+++ b/src/ops/metrics.cpp
@@ -33,6 +33,8 @@
 using linear_axis = bh::axis::regular<>;
 using linear_histogram = decltype(bh::make_histogram(linear_axis(1, 0.0, 1.0)));
 
+/** Series of one labelled counter; label values may come from outside. */
+constexpr std::size_t kMaxLabelledSeries = 256;
 constexpr int kLatencyBins = 120;
 constexpr double kLeastLatencyMs = 0.1;
 constexpr double kGreatestLatencyMs = 100000;
@@ -81,6 +83,18 @@
   std::map<std::string, long> mStatuses;
 };
 
+std::string
+Labels(const metric_labels& aLabels)
+{
+  std::string out;
+  for (const auto& [name, value] : aLabels) {
+    out += (out.empty() ? "" : ",") + name + "=" +
+           nlohmann::json(value).dump(
+             -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  }
+  return out;
+}
+
 std::string
 Labels(const metrics_key& aKey)
 {
@@ -135,6 +149,7 @@
   mutable std::mutex mMutex;
   std::map<metrics_key, series> mSeries;
   std::map<std::string, long> mCounters;
+  std::map<std::string, std::map<metric_labels, long>> mLabelled;
 };
 
 metrics::metrics()
@@ -168,6 +183,25 @@
   mState->mCounters[aName] += aBy;
 }
 
+void
+metrics::Count(const char* aName, const metric_labels& aLabels, long aBy)
+{
+  const std::lock_guard lock(mState->mMutex);
+  auto& kept = mState->mLabelled[aName];
+  const auto found = kept.find(aLabels);
+  if (found != kept.end()) {
+    found->second += aBy;
+    return;
+  }
+  metric_labels labels = aLabels;
+  if (kept.size() >= kMaxLabelledSeries) {
+    for (auto& [name, value] : labels) {
+      value = "other";
+    }
+  }
+  kept[labels] += aBy;
+}
+
 std::string
 metrics::Exposition() const
 {
@@ -176,6 +210,12 @@
   for (const auto& [name, value] : mState->mCounters) {
     out << "monsooncroft_" << name << "_total " << value << "\n";
   }
+  for (const auto& [name, series] : mState->mLabelled) {
+    for (const auto& [labels, value] : series) {
+      out << "monsooncroft_" << name << "_total{" << Labels(labels) << "} "
+          << value << "\n";
+    }
+  }
   for (const auto& [key, kept] : mState->mSeries) {
     const std::string labels = Labels(key);
     ExposeSummary(out,
@@ -207,6 +247,13 @@
   nlohmann::json out;
   const std::lock_guard lock(mState->mMutex);
   out["counters"] = mState->mCounters;
+  for (const auto& [name, series] : mState->mLabelled) {
+    for (const auto& [labels, value] : series) {
+      nlohmann::json row = labels;
+      row["count"] = value;
+      out["labelled"][name].push_back(std::move(row));
+    }
+  }
   out["queries"] = nlohmann::json::array();
   for (const auto& [key, kept] : mState->mSeries) {
     nlohmann::json row;
@@ -216,6 +263,7 @@
     row["count"] = acc::count(kept.mLatency);
     row["latency_ms"] = { { "mean", acc::mean(kept.mLatency) },
                           { "p50", Quantile(kept.mLatencyMs, 0.5) },
+                          { "p95", Quantile(kept.mLatencyMs, 0.95) },
                           { "p99", Quantile(kept.mLatencyMs, 0.99) },
                           { "max", acc::max(kept.mLatency) } };
     row["coverage_mean"] = acc::mean(kept.mCoverageFigure);
--- a/src/ops/metrics_base.h
+++ b/src/ops/metrics_base.h
@@ -8,6 +8,7 @@
 #include "model/identifier_type.h"
 #include "model/time_type.h"
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -35,6 +36,9 @@
   std::string mStatus; ///< Final status on the wire.
 };
 
+/** Label names and values of a counter. */
+using metric_labels = std::map<std::string, std::string>;
+
 /** All figures of an instance. Thread safe; its lock is innermost. */
 class metrics
 {
@@ -54,6 +58,14 @@
    */
   void Count(const char* aName, long aBy = 1);
 
+  /**
+   * Adds to one of a counter's series. A counter keeps a bounded number of
+   * them; further ones are counted together with the value "other".
+   * @param aName Such as "attempt_ends".
+   * @param aLabels What sets the series apart.
+   */
+  void Count(const char* aName, const metric_labels& aLabels, long aBy = 1);
+
   std::string Exposition() const; ///< Prometheus text format.
   std::string Summary() const;    ///< JSON for /v1/status.
 
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -122,7 +122,28 @@
 {
   const model::instant now = mClock();
   const std::lock_guard lock(mMutex);
-  return mBudget.Take(aKind, now);
+  if (!mBudget.Take(aKind, now)) {
+    ++mCalls.mWithheld;
+    return false;
+  }
+  ++(aKind == call_kind::Read ? mCalls.mReads : mCalls.mWrites);
+  return true;
+}
+
+void
+platform_client::CountFailure(store_status aStatus)
+{
+  if (aStatus != store_status::Ok) {
+    const std::lock_guard lock(mMutex);
+    ++mCalls.mFailed;
+  }
+}
+
+platform_calls
+platform_client::Calls() const
+{
+  const std::lock_guard lock(mMutex);
+  return mCalls;
 }
 
 platform_client::reply
@@ -137,6 +158,7 @@
     const net::exchange_result result =
       mPool.Call(mOptions.mAddresses[index], aRequest, aTimeout);
     const store_status status = StatusOf(result);
+    CountFailure(status);
     if (status == store_status::Throttled) {
       return { status, {} };
     }
@@ -167,6 +189,7 @@
     const net::exchange_result result =
       mPool.Call(mOptions.mAddresses[index], aRequest, mOptions.mTimeout);
     const store_status status = StatusOf(result);
+    CountFailure(status);
     if (status != store_status::Ok && status != store_status::Throttled) {
       mPreferred = (index + 1) % count;
     }
--- a/src/platform/platform_client_base.h
+++ b/src/platform/platform_client_base.h
@@ -31,6 +31,17 @@
   rate_share mShare;                          ///< This instance's share.
 };
 
+/** Calls so far, each address tried counted as one. */
+struct platform_calls
+{
+  long mReads = 0;    ///< Gets, lists and watches.
+  long mWrites = 0;   ///< Swaps, deletes and everything about leases.
+  long mWithheld = 0; ///< Not made: this instance's share was used up.
+  long mFailed = 0;   ///< Made, and not answered with 200.
+
+  bool operator==(const platform_calls&) const = default;
+};
+
 /**
  * The platform's services over HTTP; see docs/PROTOCOLS.md. A read goes to the
  * next address when one fails. A write does so only while no byte has left:
@@ -67,10 +78,13 @@
   write_outcome Revoke(const lease_id& aLease) override;
   instances_outcome List() override;
 
+  platform_calls Calls() const; ///< For the status page.
+
 private:
   struct reply;
 
   bool Take(call_kind aKind);
+  void CountFailure(store_status aStatus);
   reply Read(const net::http_request& aRequest,
              std::chrono::milliseconds aTimeout);
   reply Write(const net::http_request& aRequest);
@@ -82,8 +96,9 @@
   net::http_pool& mPool;                    ///< Connections.
   platform_options mOptions;                ///< As given.
   clock mClock;                             ///< The present.
-  std::mutex mMutex;                        ///< Guards mBudget; innermost.
+  mutable std::mutex mMutex; ///< Guards mBudget and mCalls; innermost.
   call_budget mBudget;                      ///< What is left of the share.
+  platform_calls mCalls;                    ///< So far.
   std::atomic<std::size_t> mPreferred{ 0 }; ///< Address that last answered.
 };
 
--- a/test/ops/metrics_test.cpp
+++ b/test/ops/metrics_test.cpp
@@ -44,5 +44,20 @@
   EXPECT_THAT(text, HasSubstr(R"(tenant="a\"b")"));
 }
 
+TEST(metrics, labelled_counters_are_bounded)
+{
+  metrics figures;
+  for (int i = 0; i < 1000; ++i) {
+    figures.Count("ends", { { "reason", "r" + std::to_string(i) } });
+  }
+  figures.Count("ends", { { "reason", "r0" } });
+  const auto rows =
+    nlohmann::json::parse(figures.Summary()).at("labelled").at("ends");
+  EXPECT_EQ(rows.size(), 257U);
+  const std::string text = figures.Exposition();
+  EXPECT_THAT(text, HasSubstr("monsooncroft_ends_total{reason=\"r0\"} 2\n"));
+  EXPECT_THAT(text, HasSubstr("{reason=\"other\"} 744\n"));
+}
+
 } // namespace
 } // namespace monsooncroft::ops
--- a/test/process/deployment.cpp
+++ b/test/process/deployment.cpp
@@ -232,7 +232,9 @@
   mFiles.push_back(
     std::make_unique<test_support::temporary_file>(settings.dump()));
   mEntries[aIndex] = std::make_unique<process>(
-    process::Start(MC_BIN_DIR "/monsooncroftd", { mFiles.back()->Path() }));
+    process::Start(MC_BIN_DIR "/monsooncroftd",
+                   { mFiles.back()->Path() },
+                   mOptions.mOutput));
 }
 
 void
--- a/test/process/deployment.h
+++ b/test/process/deployment.h
@@ -26,6 +26,7 @@
   int mReplicas = 2;     ///< Leaves that hold each shard.
   double mServiceMs = 2; ///< Median service time of a leaf.
   nlohmann::json mSettings = nlohmann::json::object(); ///< More settings.
+  std::string mOutput; ///< File for the instances' logs; empty: the test's own.
 };
 
 /**
