cluster: a hostile datagram no longer ends the process

Cause: nlohmann's CBOR reader calls itself for each level, so one datagram of 65,000 nested arrays overflowed the stack; and for a declared array size that no memory could hold it throws although told not to, outside the try.

Ruled out: a SAX pass for the depth (nested indefinite strings recurse without an event). Datagrams are sent with at most 1200 bytes, so that longer than twice that are dropped undecoded; both reads are in the try.

Before: hostile.garbage_datagrams_are_dropped ended the instance, first by the deep datagram, then, with that mended, by "excessive array size". After: passes; test_cluster passes.

--- a/src/cluster/message_codec.cpp
+++ b/src/cluster/message_codec.cpp
@@ -4,6 +4,8 @@
  */
 #include "cluster/message_codec_func.h"
 
+#include "cluster/cluster_core_type.h"
+
 #include <nlohmann/json.hpp>
 
 namespace monsooncroft::cluster {
@@ -12,6 +14,10 @@
 
 namespace {
 
+/** Longest datagram that is decoded: the library's CBOR reader calls itself for
+ * each level, and a datagram may be all levels. */
+constexpr std::size_t kMaxDecodedBytes = 2 * kMaxDatagramBytes;
+
 enum class item_tag : std::uint8_t
 {
   Member,
@@ -159,8 +165,12 @@
 std::optional<gossip_item>
 DecodeItem(const std::string& aBytes)
 {
-  const auto decoded = json::from_cbor(aBytes, true, false);
-  return FromJson(decoded);
+  try {
+    return FromJson(json::from_cbor(aBytes, true, false));
+  } catch (const json::exception&) {
+    // Thrown all the same for a declared size that no memory could hold.
+    return std::nullopt;
+  }
 }
 
 std::string
@@ -190,9 +200,11 @@
 std::optional<message>
 DecodeMessage(const std::string& aBytes)
 {
-  const auto decoded = json::from_cbor(aBytes, true, false);
+  if (aBytes.size() > kMaxDecodedBytes) {
+    return std::nullopt;
+  }
   try {
-    return MessageFrom(decoded);
+    return MessageFrom(json::from_cbor(aBytes, true, false));
   } catch (const std::exception&) {
     return std::nullopt;
   }
