cluster: parameters of peer calls are read to a bounded depth

Cause: the parameters travel as a text in the JSON-RPC message, so a limit on the message's own nesting does not see them; 500 KB of '[' became as many values.

Before: hostile.deep_values_are_refused grew the instance by 113 MB, above its bound of 96 MB.

--- a/src/cluster/cluster_core_call.cpp
+++ b/src/cluster/cluster_core_call.cpp
@@ -26,6 +26,19 @@
 /** A reply with more news than this is not spread on as news. */
 constexpr std::size_t kMaxSpreadOn = 16;
 
+/** Deepest nesting of a call's parameters. */
+constexpr int kParamsDepth = 8;
+
+/** Reads parameters; what nests deeper is left out and built nowhere. */
+json
+ParseParams(const std::string& aText)
+{
+  return json::parse(
+    aText, [](int aDepth, json::parse_event_t /*aEvent*/, json& /*aValue*/) {
+      return aDepth < kParamsDepth;
+    });
+}
+
 std::uint32_t
 ShortHash(const model::data_centre_id& aDataCentre)
 {
@@ -197,7 +210,7 @@
   if (aMethod == kMethodAntiEntropy) {
     return AnswerAntiEntropy(aParams);
   }
-  const auto params = json::parse(aParams);
+  const auto params = ParseParams(aParams);
   if (aMethod == kMethodPullChunk) {
     const auto* text = mManifests.FindText(params.at("hash"));
     auto result = json{ { "found", text != nullptr } };
@@ -221,7 +234,7 @@
 std::string
 cluster_core::AnswerAntiEntropy(const std::string& aParams) const
 {
-  const auto params = json::parse(aParams);
+  const auto params = ParseParams(aParams);
   const bool everything = params.at("everything");
   auto items = json::array();
   for (const auto& [dataCentre, buckets] : mMembership.Table().Digests()) {
