entry: bad peer messages get a reason

Cause: /peer/cancel answered 200 to anything; /rpc answered 500 to deep values, as jsoncpp throws; any method was taken as POST.

Weighed: config::ReadJson for each message (parses the hot path's bodies with a callback); a scan of the bytes before parsing is enough for depth.

Before: hostile.deep_values_are_refused failed at both targets. After: passes; unknown methods are 404.

--- a/src/entry/peer_handler.cpp
+++ b/src/entry/peer_handler.cpp
@@ -16,6 +16,36 @@
 
 namespace {
 
+/** Deepest nesting of a message between instances. */
+constexpr int kMessageDepth = 32;
+
+/**
+ * Whether a text nests no deeper than messages do. Looked at before it is
+ * parsed: each level costs far more memory than its byte, and the library
+ * behind /rpc throws.
+ */
+bool
+IsShallow(const std::string& aText)
+{
+  int depth = 0;
+  bool quoted = false;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    const char byte = aText[i];
+    if (quoted && byte == '\\') {
+      ++i;
+    } else if (byte == '"') {
+      quoted = !quoted;
+    } else if (!quoted && (byte == '[' || byte == '{')) {
+      if (++depth > kMessageDepth) {
+        return false;
+      }
+    } else if (!quoted && (byte == ']' || byte == '}')) {
+      --depth;
+    }
+  }
+  return true;
+}
+
 net::http_response
 Bad(const char* aReason)
 {
@@ -44,7 +74,12 @@
 peer_handler::Handle(const net::http_request& aRequest)
 {
   const in_flight counted(mInFlight);
-  return Route(aRequest);
+  if (aRequest.mMethod != "POST") {
+    net::http_response response = Bad("method");
+    response.mStatus = net::kHttpNotFound;
+    return response;
+  }
+  return IsShallow(aRequest.mBody) ? Route(aRequest) : Bad("nesting");
 }
 
 net::http_response
@@ -97,7 +132,11 @@
 net::http_response
 peer_handler::Cancel(const std::string& aBody)
 {
-  mRoutes.mOwner.Cancel(ParseCancel(aBody));
+  const auto attempts = ParseCancel(aBody);
+  if (!attempts) {
+    return Bad("attempts");
+  }
+  mRoutes.mOwner.Cancel(*attempts);
   return Ok("{}");
 }
 
--- a/src/entry/relay_codec.cpp
+++ b/src/entry/relay_codec.cpp
@@ -193,17 +193,16 @@
     aText, [](const json& aValue) { return ReadHeldRows(aValue.at("held")); });
 }
 
-std::vector<model::attempt_id>
+std::optional<std::vector<model::attempt_id>>
 ParseCancel(const std::string& aText)
 {
-  const auto attempts = Read(aText, [](const json& aValue) {
+  return Read(aText, [](const json& aValue) {
     std::vector<model::attempt_id> out;
     for (const json& attempt : aValue.at("attempts")) {
       out.emplace_back(attempt.get<std::string>());
     }
     return out;
   });
-  return attempts.value_or(std::vector<model::attempt_id>());
 }
 
 } // namespace monsooncroft::entry
--- a/src/entry/relay_codec_func.h
+++ b/src/entry/relay_codec_func.h
@@ -31,7 +31,7 @@
 ParseRelayReply(const std::string& aText);
 std::optional<std::vector<held_row>>
 ParseHeld(const std::string& aText);
-std::vector<model::attempt_id>
+std::optional<std::vector<model::attempt_id>>
 ParseCancel(const std::string& aText);
 
 } // namespace monsooncroft::entry
