entry: relayed work ends with its contract

Cause: an owner took remaining_us as it came, so that one message could hold a worker for an hour, and extreme values overflowed the deadline. Clamped to the contract's deadline.

After: hostile.relayed_work_ends_with_its_contract passes (leaves that hang, a message that asks for an hour).

--- a/src/entry/owner_service.cpp
+++ b/src/entry/owner_service.cpp
@@ -10,6 +10,7 @@
 #include "entry/leaf_sender_base.h"
 #include "entry/manifest_table_base.h"
 
+#include <algorithm>
 #include <future>
 #include <utility>
 
@@ -140,7 +141,10 @@
   plan.mRequest = aRequest.mRequest;
   plan.mIdempotent = aContract.mIdempotent;
   plan.mUrgency = aContract.mUrgency;
-  plan.mDeadline = Now() + aRequest.mRemaining;
+  // A message that asks for more would hold its worker for as long.
+  const model::duration longest = aContract.mDeadline;
+  plan.mDeadline =
+    Now() + std::clamp(aRequest.mRemaining, model::duration(0), longest);
   plan.mSnapshot = aRequest.mSnapshot;
   plan.mAttemptPrefix = mPrefix + std::to_string(mNumber.fetch_add(1)) + ".";
   for (const relay_shard& asked : aRequest.mShards) {
