--- a/src/entry/caller_handler.cpp
+++ b/src/entry/caller_handler.cpp
@@ -76,7 +76,7 @@
   if (aRequest.mMethod == "POST" && aRequest.mTarget == "/v1/query") {
     response = Query(aRequest.mBody);
   } else if (aRequest.mMethod == "POST" && aRequest.mTarget == "/v1/explain") {
-    response = Json(mRoutes.mExplain(aRequest.mBody));
+    response = Explain(aRequest.mBody);
   } else if (aRequest.mMethod == "GET") {
     response = Plain(aRequest.mTarget);
   } else {
@@ -96,6 +96,19 @@
   return mRoutes.mDesk.Answer(query.value());
 }
 
+net::http_response
+caller_handler::Explain(const std::string& aBody)
+{
+  std::string answer = mRoutes.mExplain(aBody);
+  if (answer.empty()) {
+    net::http_response response =
+      Json(R"({"reason":"service and kind are required"})");
+    response.mStatus = net::kHttpBadRequest;
+    return response;
+  }
+  return Json(std::move(answer));
+}
+
 net::http_response
 caller_handler::Plain(const std::string& aTarget)
 {
--- a/src/entry/caller_handler_base.h
+++ b/src/entry/caller_handler_base.h
@@ -23,7 +23,8 @@
   std::function<bool()> mReady;          ///< For the balancer.
   std::function<std::string()> mStatus;  ///< JSON of /v1/status.
   std::function<std::string()> mMetrics; ///< Text of /metrics.
-  std::function<std::string(const std::string&)> mExplain; ///< Body to JSON.
+  std::function<std::string(const std::string&)>
+    mExplain; ///< Body to JSON; empty if bad.
   std::size_t mMaxQueryBytes = 0;
 };
 
@@ -42,6 +43,7 @@
 
 private:
   net::http_response Query(const std::string& aBody);
+  net::http_response Explain(const std::string& aBody);
   net::http_response Plain(const std::string& aTarget);
 
   caller_routes mRoutes;
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -4,6 +4,7 @@
  */
 #include "entry/daemon_base.h"
 
+#include "config/json_text_func.h"
 #include "config/query_json_func.h"
 #include "config/settings_base.h"
 #include "entry/alarm_board_base.h"
@@ -49,6 +50,8 @@
 constexpr unsigned kPlatformWorkers = 4;
 /** Longest query that another instance may hand on. */
 constexpr std::size_t kMaxForwardedBytes = 2UL * 1024 * 1024;
+constexpr std::size_t kMaxExplainBytes = 4096;
+constexpr int kExplainDepth = 4;
 constexpr std::chrono::milliseconds kTick{ 1000 };
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
 /** In flight stays at none for this long before the end. */
@@ -226,12 +229,18 @@
 std::string
 instance::Explain(const std::string& aBody)
 {
-  const auto question = nlohmann::json::parse(aBody, nullptr, false);
+  config::config_errors errors;
+  const auto question =
+    config::ReadJson(aBody, { kMaxExplainBytes, kExplainDepth }, errors);
   const auto text = [&](const char* aField) {
-    const bool there = question.is_object() && question.contains(aField) &&
-                       question[aField].is_string();
-    return there ? question[aField].get<std::string>() : std::string();
+    const bool there = question && question->is_object() &&
+                       question->contains(aField) &&
+                       question->at(aField).is_string();
+    return there ? question->at(aField).get<std::string>() : std::string();
   };
+  if (text("service").empty() || text("kind").empty()) {
+    return "";
+  }
   return mRoot.Explain(model::service_id(text("service")),
                        model::kind_id(text("kind")));
 }
@@ -264,13 +273,12 @@
     std::this_thread::sleep_for(kStopPoll);
   }
   const bool quiet = AwaitQuiet(bound);
-  mLog.Write(quiet ? ops::log_level::Info : ops::log_level::Warning,
-             "stopped",
-             { { "quiet", static_cast<long>(quiet) },
-               { "callers_in_flight",
-                 static_cast<long>(mCallers->InFlight()) },
-               { "peers_in_flight",
-                 static_cast<long>(mPeerHandler->InFlight()) } });
+  mLog.Write(
+    quiet ? ops::log_level::Info : ops::log_level::Warning,
+    "stopped",
+    { { "quiet", static_cast<long>(quiet) },
+      { "callers_in_flight", static_cast<long>(mCallers->InFlight()) },
+      { "peers_in_flight", static_cast<long>(mPeerHandler->InFlight()) } });
   return quiet;
 }
 
