--- a/test/process/deployment.cpp
+++ b/test/process/deployment.cpp
@@ -231,10 +231,8 @@
   settings.merge_patch(mOptions.mSettings);
   mFiles.push_back(
     std::make_unique<test_support::temporary_file>(settings.dump()));
-  mEntries[aIndex] = std::make_unique<process>(
-    process::Start(MC_BIN_DIR "/monsooncroftd",
-                   { mFiles.back()->Path() },
-                   mOptions.mOutput));
+  mEntries[aIndex] = std::make_unique<process>(process::Start(
+    MC_BIN_DIR "/monsooncroftd", { mFiles.back()->Path() }, mOptions.mOutput));
 }
 
 void
--- a/test/process/operator_test.cpp
+++ b/test/process/operator_test.cpp
@@ -79,7 +79,8 @@
       EXPECT_TRUE(row.contains(field)) << line;
     }
     if (row["event"] == "query_done") {
-      for (const char* field : { "request_id", "tenant", "manifest", "reason" }) {
+      for (const char* field :
+           { "request_id", "tenant", "manifest", "reason" }) {
         EXPECT_TRUE(row.contains(field)) << line;
       }
       logged.insert(row["request_id"]);
--- a/test/process/raw_socket.cpp
+++ b/test/process/raw_socket.cpp
@@ -39,8 +39,8 @@
   if (head == std::string::npos || length > head) {
     return false;
   }
-  const auto bytes = std::strtoul(
-    aResponse.c_str() + length + kLengthName.size(), nullptr, 10);
+  const auto bytes =
+    std::strtoul(aResponse.c_str() + length + kLengthName.size(), nullptr, 10);
   return aResponse.size() >= head + kHeadEnd.size() + bytes;
 }
 
@@ -133,9 +133,8 @@
 StatusOf(const std::string& aResponse)
 {
   const auto space = aResponse.find(' ');
-  return space == std::string::npos
-           ? 0
-           : std::atoi(aResponse.c_str() + space + 1);
+  return space == std::string::npos ? 0
+                                    : std::atoi(aResponse.c_str() + space + 1);
 }
 
 void
--- a/test/process/raw_socket.h
+++ b/test/process/raw_socket.h
@@ -30,8 +30,8 @@
    * Reads until a whole response came, or the other end closes.
    * @param aLongest Longest wait; what came until then is returned.
    */
-  std::string Read(std::chrono::milliseconds aLongest =
-                     std::chrono::milliseconds(8000)) const;
+  std::string Read(
+    std::chrono::milliseconds aLongest = std::chrono::milliseconds(8000)) const;
 
 private:
   int mDescriptor;
