--- a/src/entry/attempt_count_base.h
+++ b/src/entry/attempt_count_base.h
@@ -26,7 +26,7 @@
   /** @param aMetrics Gets the counts; outlives this. */
   explicit attempt_count(ops::metrics& aMetrics);
 
-  void OnSend(const model::shard_id& aShard);      ///< Handed to a leaf's gate.
+  void OnSend(const model::shard_id& aShard); ///< Handed to a leaf's gate.
   void OnEnd(const model::attempt_result& aResult); ///< The attempt is over.
 
 private:
--- a/src/entry/leaf_sender.cpp
+++ b/src/entry/leaf_sender.cpp
@@ -36,12 +36,12 @@
     const std::shared_ptr<leaf_gate> gate = mLeaves.Gate(leaf);
     if (!gate) {
       done({ send.mAttempt,
-              send.mShard,
-              leaf,
-              model::attempt_outcome::NotSent,
-              0,
-              "undeclared",
-              "" });
+             send.mShard,
+             leaf,
+             model::attempt_outcome::NotSent,
+             0,
+             "undeclared",
+             "" });
       continue;
     }
     leaf_job job = mPattern;
--- a/src/entry/status_page.cpp
+++ b/src/entry/status_page.cpp
@@ -119,7 +119,9 @@
   Gauge(out, "peers_in_flight", aView.mPeersInFlight);
   Gauge(out, "leaf_connections", static_cast<long>(aView.mLeafConnections));
   Gauge(out, "leaving_leaves", static_cast<long>(aView.mLeaving.size()));
-  Gauge(out, "members", aView.mMembers ? static_cast<long>(aView.mMembers->Count()) : 0);
+  Gauge(out,
+        "members",
+        aView.mMembers ? static_cast<long>(aView.mMembers->Count()) : 0);
   Gauge(out, "platform_reads_total", aView.mPlatform.mReads);
   Gauge(out, "platform_writes_total", aView.mPlatform.mWrites);
   Gauge(out, "platform_withheld_total", aView.mPlatform.mWithheld);
--- a/src/platform/platform_client_base.h
+++ b/src/platform/platform_client_base.h
@@ -93,12 +93,12 @@
   read_outcome ReadKey(const net::http_request& aRequest,
                        std::chrono::milliseconds aTimeout);
 
-  net::http_pool& mPool;                    ///< Connections.
-  platform_options mOptions;                ///< As given.
-  clock mClock;                             ///< The present.
+  net::http_pool& mPool;     ///< Connections.
+  platform_options mOptions; ///< As given.
+  clock mClock;              ///< The present.
   mutable std::mutex mMutex; ///< Guards mBudget and mCalls; innermost.
-  call_budget mBudget;                      ///< What is left of the share.
-  platform_calls mCalls;                    ///< So far.
+  call_budget mBudget;       ///< What is left of the share.
+  platform_calls mCalls;     ///< So far.
   std::atomic<std::size_t> mPreferred{ 0 }; ///< Address that last answered.
 };
 
