--- a/src/entry/caller_handler.cpp
+++ b/src/entry/caller_handler.cpp
@@ -76,7 +76,7 @@
   if (aRequest.mMethod == "POST" && aRequest.mTarget == "/v1/query") {
     response = Query(aRequest.mBody);
   } else if (aRequest.mMethod == "POST" && aRequest.mTarget == "/v1/explain") {
-    response = Json(mRoutes.mExplain(aRequest.mBody));
+    response = Explain(aRequest.mBody);
   } else if (aRequest.mMethod == "GET") {
     response = Plain(aRequest.mTarget);
   } else {
@@ -91,11 +91,22 @@
 {
   const auto query = config::ParseQuery(aBody, mRoutes.mMaxQueryBytes);
   if (!query) {
-    net::http_response response = Json(config::EmitBadQuery(query.error()));
+    return mRoutes.mDesk.Refuse(query.error());
+  }
+  return mRoutes.mDesk.Answer(query.value());
+}
+
+net::http_response
+caller_handler::Explain(const std::string& aBody)
+{
+  std::string answer = mRoutes.mExplain(aBody);
+  if (answer.empty()) {
+    net::http_response response =
+      Json(R"({"reason":"service and kind are required"})");
     response.mStatus = net::kHttpBadRequest;
     return response;
   }
-  return mRoutes.mDesk.Answer(query.value());
+  return Json(std::move(answer));
 }
 
 net::http_response
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -4,6 +4,7 @@
  */
 #include "entry/daemon_base.h"
 
+#include "config/json_text_func.h"
 #include "config/query_json_func.h"
 #include "config/settings_base.h"
 #include "entry/alarm_board_base.h"
@@ -23,6 +24,7 @@
 #include "entry/root_service_base.h"
 #include "entry/settings_map_func.h"
 #include "entry/snapshot_table_base.h"
+#include "entry/status_page_func.h"
 #include "entry/target_table_base.h"
 #include "entry/ticker_base.h"
 #include "entry/trial_service_base.h"
@@ -51,6 +53,8 @@
 constexpr unsigned kPlatformWorkers = 4;
 /** Longest query that another instance may hand on. */
 constexpr std::size_t kMaxForwardedBytes = 2UL * 1024 * 1024;
+constexpr std::size_t kMaxExplainBytes = 4096;
+constexpr int kExplainDepth = 4;
 constexpr std::chrono::milliseconds kTick{ 1000 };
 constexpr std::chrono::milliseconds kStopPoll{ 20 };
 /** In flight stays at none for this long before the end. */
@@ -73,7 +77,7 @@
 
 private:
   bool Ready() const;
-  std::string Status() const;
+  status_view View() const;
   std::string Explain(const std::string& aBody);
   std::string RunAsHome(const std::string& aBody);
   void OnTick();
@@ -136,7 +140,7 @@
   , mLeaves(*mConnector, GateOptionsOf(aSettings), LeafHedgeOf(aSettings))
   , mQuarantine({ *mConnector, mPeers, mLeaves, mManifests, mLog, mId },
                 QuarantineSettingsOf(aSettings))
-  , mOwner(*mConnector, mManifests, mLeaves, mId)
+  , mOwner(*mConnector, mManifests, mLeaves, mMetrics, mId)
   , mRoot(
       { *mConnector,
         mManifests,
@@ -163,7 +167,7 @@
             { mId, mIncarnation },
             mDataCentre },
           RecordSettingsOf(aSettings))
-  , mDesk({ mRoot, mTrials, mOnce, mLog })
+  , mDesk({ mRoot, mTrials, mOnce, mLog, mMetrics })
   , mWatch({ mManifests,
              mLeaves,
              mRoot,
@@ -203,8 +207,8 @@
   mCallers = std::make_unique<caller_handler>(caller_routes{
     mDesk,
     [this] { return Ready(); },
-    [this] { return Status(); },
-    [this] { return mMetrics.Exposition(); },
+    [this] { return StatusPage(View(), mMetrics); },
+    [this] { return MetricsPage(View(), mMetrics); },
     [this](const std::string& aBody) { return Explain(aBody); },
     static_cast<std::size_t>(mSettings.Integer(setting::QueryBodyLimit)) });
   mPeerServer = net::http_server::Start(PeerServerOf(mSettings), *mPeerHandler);
@@ -238,48 +242,42 @@
          mLeaves.Looked(mWatch.OwnedLeaves());
 }
 
-std::string
-instance::Status() const
+status_view
+instance::View() const
 {
   const model::manifest_ptr manifest = mManifests.Current();
-  nlohmann::ordered_json out;
-  out["instance"] = mId.Value();
-  out["data_centre"] = mDataCentre.Value();
-  out["manifest"] = manifest ? manifest->Version() : 0;
-  out["ready"] = Ready();
-  out["stopping"] = mStopping.load();
-  out["alarms"] = mAlarms.Texts();
-  out["in_flight"] = mCallers->InFlight();
-  out["leaf_connections"] = mLeaves.Connections();
-  out["members"] = nlohmann::ordered_json::array();
-  if (const cluster::member_view_ptr view = mManifests.View()) {
-    for (const auto& [dataCentre, members] : view->Lists()) {
-      for (const cluster::member& member : *members) {
-        out["members"].push_back(
-          { { "instance", member.mId.Value() },
-            { "data_centre", dataCentre.Value() },
-            { "state", static_cast<int>(member.mState) } });
-      }
-    }
-  }
-  out["leaving"] = nlohmann::ordered_json::array();
-  for (const policy::drain_mark& mark : mLeaves.Marks()) {
-    out["leaving"].push_back(mark.mLeaf.Value());
-  }
-  out["quarantine_marks"] = mQuarantine.Marks();
-  out["metrics"] = nlohmann::ordered_json::parse(mMetrics.Summary());
-  return out.dump();
+  status_view view;
+  view.mInstance = mId;
+  view.mDataCentre = mDataCentre;
+  view.mManifest = manifest ? manifest->Version() : 0;
+  view.mReady = Ready();
+  view.mStopping = mStopping;
+  view.mAlarms = mAlarms.Texts();
+  view.mCallersInFlight = mCallers->InFlight();
+  view.mPeersInFlight = mPeerHandler->InFlight();
+  view.mLeafConnections = mLeaves.Connections();
+  view.mPlatform = mPlatform.Calls();
+  view.mMembers = mManifests.View();
+  view.mLeaving = mLeaves.Marks();
+  view.mQuarantine = mQuarantine.Marks();
+  return view;
 }
 
 std::string
 instance::Explain(const std::string& aBody)
 {
-  const auto question = nlohmann::json::parse(aBody, nullptr, false);
+  config::config_errors errors;
+  const auto question =
+    config::ReadJson(aBody, { kMaxExplainBytes, kExplainDepth }, errors);
   const auto text = [&](const char* aField) {
-    const bool there = question.is_object() && question.contains(aField) &&
-                       question[aField].is_string();
-    return there ? question[aField].get<std::string>() : std::string();
+    const bool there = question && question->is_object() &&
+                       question->contains(aField) &&
+                       question->at(aField).is_string();
+    return there ? question->at(aField).get<std::string>() : std::string();
   };
+  if (text("service").empty() || text("kind").empty()) {
+    return "";
+  }
   return mRoot.Explain(model::service_id(text("service")),
                        model::kind_id(text("kind")));
 }
--- a/src/entry/owner_service.cpp
+++ b/src/entry/owner_service.cpp
@@ -4,11 +4,13 @@
  */
 #include "entry/owner_service_base.h"
 
+#include "entry/attempt_count_base.h"
 #include "entry/clock_func.h"
 #include "entry/fanout_driver_base.h"
 #include "entry/leaf_sender_base.h"
 #include "entry/manifest_table_base.h"
 
+#include <algorithm>
 #include <future>
 #include <utility>
 
@@ -43,10 +45,12 @@
 owner_service::owner_service(net::http_connector& aTimers,
                              manifest_table& aManifests,
                              leaf_table& aLeaves,
+                             ops::metrics& aMetrics,
                              const model::instance_id& aSelf)
   : mTimers(aTimers)
   , mManifests(aManifests)
   , mLeaves(aLeaves)
+  , mMetrics(aMetrics)
   , mPrefix(aSelf.Value() + "." +
             std::to_string(WallNow().time_since_epoch().count()) + ".o")
 {
@@ -78,7 +82,8 @@
   }
   const auto driver = std::make_shared<fanout_driver>(
     mTimers,
-    std::make_shared<leaf_sender>(mLeaves, pattern),
+    std::make_shared<leaf_sender>(
+      mLeaves, pattern, std::make_shared<attempt_count>(mMetrics)),
     std::move(decisions));
   Remember(aRequest, driver);
   // The budget and the driver live until the run is over.
@@ -137,7 +142,10 @@
   plan.mRequest = aRequest.mRequest;
   plan.mIdempotent = aContract.mIdempotent;
   plan.mUrgency = aContract.mUrgency;
-  plan.mDeadline = Now() + aRequest.mRemaining;
+  // A message that asks for more would hold its worker for as long.
+  const model::duration longest = aContract.mDeadline;
+  plan.mDeadline =
+    Now() + std::clamp(aRequest.mRemaining, model::duration(0), longest);
   plan.mSnapshot = aRequest.mSnapshot;
   plan.mAttemptPrefix = mPrefix + std::to_string(mNumber.fetch_add(1)) + ".";
   for (const relay_shard& asked : aRequest.mShards) {
