--- a/src/entry/root_service.cpp
+++ b/src/entry/root_service.cpp
@@ -168,7 +168,9 @@
       end.mCanReplan ? mParts.mLinks.mSnapshots.NextAfterNotHeld(*pin.mService,
                                                                  pin.mSnapshot)
                      : std::nullopt;
+    bool ranBefore = false;
     if (next && pin.mDeadline - Now() > kLeastReplanTime) {
+      ranBefore = end.mMayHaveRun;
       mParts.mMetrics.Count("replans");
       pin.mSnapshot = *next;
       end = FanOut(aQuery, aTerms, pin);
@@ -178,7 +180,8 @@
                                  end.mReport,
                                  *pin.mService,
                                  *pin.mContract,
-                                 pin.mManifest->Version());
+                                 pin.mManifest->Version(),
+                                 ranBefore);
   }
   Record(aQuery, aTerms, answer, pin, leafAttempts);
   return answer;
@@ -222,6 +225,7 @@
   promise->get_future().wait();
   end.mReport = driver->Fanout().Report();
   end.mCanReplan = driver->Fanout().CanReplan();
+  end.mMayHaveRun = driver->Fanout().MayHaveRun();
   end.mLeafAttempts = sender->LeafAttempts();
   return end;
 }
--- a/src/entry/root_service_base.h
+++ b/src/entry/root_service_base.h
@@ -99,6 +99,7 @@
     policy::fanout_plan mPlan;
     policy::fanout_report mReport;
     bool mCanReplan = false;
+    bool mMayHaveRun = false; ///< Some shard ran or may have run.
     int mLeafAttempts = 0;
   };
 
--- a/src/policy/answer_func.cpp
+++ b/src/policy/answer_func.cpp
@@ -72,7 +72,8 @@
             const fanout_report& aReport,
             const model::service& aService,
             const model::contract& aContract,
-            model::manifest_version aManifest)
+            model::manifest_version aManifest,
+            bool aRanBefore)
 {
   const merged_results merged = Merge(aReport, aContract);
   const std::set<model::shard_id>& answered = merged.mMerged;
@@ -92,7 +93,7 @@
     std::all_of(aService.mShards.begin(), aService.mShards.end(), inAnswer);
   facts.mAnyAnswered = !answered.empty();
   facts.mOthersMayRun =
-    !merged.mRejected.empty() ||
+    aRanBefore || !merged.mRejected.empty() ||
     std::any_of(aReport.mShards.begin(),
                 aReport.mShards.end(),
                 [](const shard_report& aShard) {
--- a/src/policy/answer_func.h
+++ b/src/policy/answer_func.h
@@ -35,13 +35,16 @@
  * @param aService The service at the pinned manifest.
  * @param aContract The kind's terms.
  * @param aManifest The pinned manifest's version.
+ * @param aRanBefore An earlier fan-out of the same query, at another snapshot,
+ * ran or may have run.
  */
 model::answer
 BuildAnswer(const fanout_plan& aPlan,
             const fanout_report& aReport,
             const model::service& aService,
             const model::contract& aContract,
-            model::manifest_version aManifest);
+            model::manifest_version aManifest,
+            bool aRanBefore = false);
 
 /**
  * An answer to a request of which nothing was sent.
--- a/test/policy/fanout_test.cpp
+++ b/test/policy/fanout_test.cpp
@@ -196,6 +196,19 @@
             std::set{ two });
 }
 
+TEST(answer, run_at_an_earlier_snapshot_is_not_called_not_run)
+{
+  model::service service;
+  service.mShards = { { model::shard_id("s1"), {}, {} } };
+  fanout_report report;
+  report.mShards = { shard_report{ model::shard_id("s1") } };
+  const auto status = [&](bool aRanBefore) {
+    return BuildAnswer({}, report, service, {}, 1, aRanBefore).mStatus;
+  };
+  EXPECT_EQ(status(false), model::status::NotRun);
+  EXPECT_EQ(status(true), model::status::Failed);
+}
+
 TEST(answer, status_table)
 {
   const auto decide =
