--- a/src/entry/leaf_sender.cpp
+++ b/src/entry/leaf_sender.cpp
@@ -37,12 +37,12 @@
     const bool allowed = mLeaves.MaySend(mPattern);
     if (!gate || !allowed) {
       done({ send.mAttempt,
-              send.mShard,
-              leaf,
-              model::attempt_outcome::NotSent,
-              0,
-              allowed ? "undeclared" : "quarantined",
-              "" });
+             send.mShard,
+             leaf,
+             model::attempt_outcome::NotSent,
+             0,
+             allowed ? "undeclared" : "quarantined",
+             "" });
       continue;
     }
     leaf_job job = mPattern;
--- a/src/entry/root_service.cpp
+++ b/src/entry/root_service.cpp
@@ -192,7 +192,9 @@
       end.mCanReplan ? mParts.mLinks.mSnapshots.NextAfterNotHeld(*pin.mService,
                                                                  pin.mSnapshot)
                      : std::nullopt;
+    bool ranBefore = false;
     if (next && pin.mDeadline - Now() > kLeastReplanTime) {
+      ranBefore = end.mMayHaveRun;
       mParts.mMetrics.Count("replans");
       pin.mSnapshot = *next;
       end = FanOut(aQuery, aTerms, pin);
@@ -202,7 +204,8 @@
                                  end.mReport,
                                  *pin.mService,
                                  *pin.mContract,
-                                 pin.mManifest->Version());
+                                 pin.mManifest->Version(),
+                                 ranBefore);
     if (LeafDied(end.mReport)) {
       answer.mReason = kReasonLeafDied;
     }
@@ -302,6 +305,7 @@
     aEnd.mReport.mShards.push_back(std::move(shard));
   }
   aEnd.mCanReplan = aEnd.mCanReplan || driver->Fanout().CanReplan();
+  aEnd.mMayHaveRun = aEnd.mMayHaveRun || driver->Fanout().MayHaveRun();
   aEnd.mLeafAttempts += sender->LeafAttempts();
 }
 
