--- a/test/process/quarantine_test.cpp
+++ b/test/process/quarantine_test.cpp
@@ -42,7 +42,7 @@
         const json members = mDeployment->Status(entry)["members"];
         const auto alive = std::count_if(
           members.begin(), members.end(), [](const json& aMember) {
-            return aMember["state"] == 0;
+            return aMember["state"] == "alive";
           });
         return alive == mDeployment->Entries();
       }));
