Suspected in flight: held back under its own word and tried alone

Ruled out: a second death charged to it (its marks showed one). Now such an attempt is refused as suspected, and the query goes the way of suspects if it can run again. After the first shard of unseen content has answered, the rest may hedge again.

--- a/src/entry/leaf_sender.cpp
+++ b/src/entry/leaf_sender.cpp
@@ -34,14 +34,14 @@
     mCount->OnSend(send.mShard);
     const model::leaf_id leaf(send.mTarget.Value());
     const std::shared_ptr<leaf_gate> gate = mLeaves.Gate(leaf);
-    const bool allowed = mLeaves.MaySend(mPattern);
-    if (!gate || !allowed) {
+    const char* objection = mLeaves.Objection(mPattern);
+    if (!gate || objection != nullptr) {
       done({ send.mAttempt,
              send.mShard,
              leaf,
              model::attempt_outcome::NotSent,
              0,
-             allowed ? "undeclared" : "quarantined",
+             objection == nullptr ? "undeclared" : objection,
              "" });
       continue;
     }
--- a/src/entry/leaf_table.cpp
+++ b/src/entry/leaf_table.cpp
@@ -48,10 +48,10 @@
   mGuard = std::move(aGuard);
 }
 
-bool
-leaf_table::MaySend(const leaf_job& aJob) const
+const char*
+leaf_table::Objection(const leaf_job& aJob) const
 {
-  return !mGuard || mGuard(aJob);
+  return mGuard ? mGuard(aJob) : nullptr;
 }
 
 bool
--- a/src/entry/leaf_table_base.h
+++ b/src/entry/leaf_table_base.h
@@ -44,7 +44,8 @@
 public:
   /** Takes over the release of the attempt's end. */
   using loss_listener = std::function<void(const leaf_loss&, release)>;
-  using send_guard = std::function<bool(const leaf_job&)>;
+  /** Why a job may not be sent now; null if it may. */
+  using send_guard = std::function<const char*(const leaf_job&)>;
   using boot_listener =
     std::function<void(const model::leaf_id&, const policy::boot_id&)>;
 
@@ -57,10 +58,10 @@
              const gate_options& aOptions,
              const hedge_options& aHedge);
 
-  void SetLosses(loss_listener aListener);  ///< @pre Before any work.
-  void SetBoots(boot_listener aListener);   ///< @pre Before any work.
-  void SetGuard(send_guard aGuard);         ///< @pre Before any work.
-  bool MaySend(const leaf_job& aJob) const; ///< Whether the guard allows it.
+  void SetLosses(loss_listener aListener);           ///< @pre Before any work.
+  void SetBoots(boot_listener aListener);            ///< @pre Before any work.
+  void SetGuard(send_guard aGuard);                  ///< @pre Before any work.
+  const char* Objection(const leaf_job& aJob) const; ///< The guard's word.
 
   /**
    * Takes over a manifest: leaves that left it are forgotten.
--- a/src/entry/quarantine_desk.cpp
+++ b/src/entry/quarantine_desk.cpp
@@ -49,7 +49,7 @@
   , mTrials(kMaxWaitingTrials)
 {
   mParts.mLeaves.SetGuard(
-    [this](const leaf_job& aJob) { return MaySend(aJob); });
+    [this](const leaf_job& aJob) { return Objection(aJob); });
   mParts.mLeaves.SetLosses(
     [this](const leaf_loss& aLoss, const leaf_observer::release& aRelease) {
       OnLoss(aLoss, aRelease);
@@ -74,19 +74,19 @@
   return mQuarantine.Admit(aContent, aService, WallNow());
 }
 
-bool
-quarantine_desk::MaySend(const leaf_job& aJob) const
+const char*
+quarantine_desk::Objection(const leaf_job& aJob) const
 {
   switch (Admit(ContentOf(aJob.mRequest), aJob.mRequest.mService)) {
     case once::passage::Free:
     case once::passage::FirstAlone:
-      return true;
+      return nullptr;
     case once::passage::Isolated:
-      return aJob.mAlone;
+      return aJob.mAlone ? nullptr : kReasonSuspected;
     case once::passage::Refused:
-      return false;
+      return once::kReasonQuarantined;
   }
-  return false;
+  return once::kReasonQuarantined;
 }
 
 bool
--- a/src/entry/quarantine_desk_base.h
+++ b/src/entry/quarantine_desk_base.h
@@ -25,6 +25,9 @@
 
 namespace monsooncroft::entry {
 
+/** An attempt of content that became suspected while its query ran. */
+constexpr const char* kReasonSuspected = "suspected";
+
 class manifest_table;
 
 /** What the desk uses; all outlives it. */
@@ -91,7 +94,7 @@
     std::vector<once::death_mark> mMarks;
   };
 
-  bool MaySend(const leaf_job& aJob) const;
+  const char* Objection(const leaf_job& aJob) const;
   void OnLoss(const leaf_loss& aLoss, const leaf_observer::release& aRelease);
   void OnBoot(const model::leaf_id& aLeaf, const policy::boot_id& aBoot);
   void Ask(const model::leaf_id& aLeaf, model::instant aSince);
--- a/src/entry/root_service.cpp
+++ b/src/entry/root_service.cpp
@@ -238,7 +238,13 @@
     const bool more = first && sent < shards.size();
     part.mDeadline = more ? Now() + (aPinned.mDeadline - Now()) / kFirstPart
                           : aPinned.mDeadline;
-    FanOutPart(aQuery, aTerms, aPinned, part, end);
+    // A whole answer of the first shard clears the content: tails are cut
+    // again.
+    run_terms terms = aTerms;
+    const bool cleared = aTerms.mFirstAlone && !end.mReport.mShards.empty() &&
+                         AllAre(end.mReport, policy::shard_fate::Answered);
+    terms.mNoExtra = aTerms.mNoExtra && !(cleared && end.mPlan.mIdempotent);
+    FanOutPart(aQuery, terms, aPinned, part, end);
     const bool again = more && end.mPlan.mIdempotent &&
                        !LeafDied(end.mReport) &&
                        !AllAre(end.mReport, policy::shard_fate::Answered);
--- a/src/entry/trial_service.cpp
+++ b/src/entry/trial_service.cpp
@@ -115,6 +115,16 @@
   if (answer.mStatus == model::status::Complete) {
     mParts.mDesk.OnAnswered(aJourney.mContent, false);
   }
+  // It became suspected while it ran, perhaps as the neighbour of another:
+  // what was held back may go alone, if none of it can run twice.
+  const bool heldBack = answer.mReason == kReasonSuspected;
+  const bool mayRunAgain =
+    !aJourney.mTerms.mSendBefore || answer.mStatus == model::status::NotRun;
+  if (heldBack && mayRunAgain && Now() < aJourney.mDeadline) {
+    model::answer again = Go(aJourney);
+    // What ran the first time stays true.
+    return again.mStatus == model::status::NotRun ? answer : again;
+  }
   return answer;
 }
 
