--- a/src/cluster/cluster_core_call.cpp
+++ b/src/cluster/cluster_core_call.cpp
@@ -268,10 +268,7 @@
   mCalls.erase(found);
   const auto result = json::parse(aResult.value_or(""), nullptr, false);
   if (ended.mMethod == kMethodPullChunk) {
-    std::optional<std::string> text;
-    if (result.is_object() && result.value("found", false)) {
-      text = result.value("text", "");
-    }
+    const auto text = ParsePulledText(aResult.value_or(""));
     Carry(
       mManifests.OnText(ended.mHash, ended.mPeer, text, aNow.mNow), aNow, out);
     return out;
--- a/src/cluster/message_codec.cpp
+++ b/src/cluster/message_codec.cpp
@@ -210,4 +210,18 @@
   }
 }
 
+std::optional<std::string>
+ParsePulledText(const std::string& aResult)
+{
+  const auto result = nlohmann::json::parse(aResult, nullptr, false);
+  if (!result.is_object()) {
+    return std::nullopt;
+  }
+  const auto found = result.find("found");
+  const auto text = result.find("text");
+  const bool whole = found != result.end() && *found == true &&
+                     text != result.end() && text->is_string();
+  return whole ? std::optional(text->get<std::string>()) : std::nullopt;
+}
+
 } // namespace monsooncroft::cluster
--- a/src/cluster/message_codec_func.h
+++ b/src/cluster/message_codec_func.h
@@ -30,6 +30,14 @@
 std::optional<message>
 DecodeMessage(const std::string& aBytes); ///< Nothing if malformed.
 
+/**
+ * The text in a reply to a pull of a chunk.
+ * @param aResult JSON of a peer, not trusted.
+ * @return Nothing if the peer has none or the reply is malformed.
+ */
+std::optional<std::string>
+ParsePulledText(const std::string& aResult);
+
 } // namespace monsooncroft::cluster
 
 #endif
