--- a/src/once/quarantine_base.h
+++ b/src/once/quarantine_base.h
@@ -39,7 +39,8 @@
   death_mark Confirm(const suspicion& aSuspicion, model::wall_instant aWall);
 
   /**
-   * A leaf answered the request, with a result or an error.
+   * Every shard of the request was answered. One shard's answer proves
+   * nothing of the others: a request may kill the leaves of one shard only.
    * @param aAlone Whether it ran under passage::Isolated.
    * @return The marks that are cleared by it, to be spread.
    */
