--- a/src/policy/fanout_cmd.cpp
+++ b/src/policy/fanout_cmd.cpp
@@ -180,14 +180,13 @@
 {
   const shard_run& run = mRuns[aRun];
   const std::optional<std::size_t> next = NextCandidate(run);
-  if (!next) {
+  const bool tried = next && run.mCandidates[*next].mTries > 0;
+  if (!next || (tried && !StartsNextRound(aRun))) {
     Close(aRun, aOut);
-  } else if (run.mCandidates[*next].mTries == 0) {
-    Send(aRun, *next, false, aNow, aOut);
-  } else if (StartsNextRound(aRun)) {
+  } else if (tried) {
     BackOff(aRun, aNow, aOut);
   } else {
-    Close(aRun, aOut);
+    Send(aRun, *next, false, aNow, aOut);
   }
 }
 
