--- a/src/entry/once_service.cpp
+++ b/src/entry/once_service.cpp
@@ -5,15 +5,14 @@
  */
 #include "entry/once_service_base.h"
 
-#include "cluster/rendezvous_func.h"
 #include "config/answer_json_func.h"
 #include "config/query_json_func.h"
 #include "entry/clock_func.h"
+#include "entry/home_member_func.h"
 #include "entry/manifest_table_base.h"
 #include "entry/relay_codec_func.h"
 #include "entry/trial_service_base.h"
 #include "net/http_pool_base.h"
-#include "once/home_func.h"
 #include "policy/answer_func.h"
 
 #include <algorithm>
@@ -61,25 +60,9 @@
 cluster::member
 once_service::HomeOf(const model::query& aQuery) const
 {
-  cluster::member self;
-  self.mId = mParts.mSelf.mInstance;
-  const cluster::member_view_ptr view = mParts.mManifests.View();
-  if (!view) {
-    return self;
-  }
   const std::string key =
     once::KeyOf(once::BucketOf(once::HashRequest(aQuery), kBuckets));
-  std::vector<model::instance_id> live;
-  for (const auto& [dataCentre, members] : view->Lists()) {
-    for (const cluster::member& member : *members) {
-      if (member.mState == cluster::member_state::Alive) {
-        live.push_back(member.mId);
-      }
-    }
-  }
-  const model::instance_id* home = once::HomeOf(key, live);
-  const cluster::member* found = home == nullptr ? nullptr : view->Find(*home);
-  return found == nullptr ? self : *found;
+  return HomeMember(key, mParts.mManifests.View(), mParts.mSelf.mInstance);
 }
 
 model::answer
--- a/src/entry/trial_service.cpp
+++ b/src/entry/trial_service.cpp
@@ -7,13 +7,13 @@
 #include "config/answer_json_func.h"
 #include "config/query_json_func.h"
 #include "entry/clock_func.h"
+#include "entry/home_member_func.h"
 #include "entry/in_flight_base.h"
 #include "entry/manifest_table_base.h"
 #include "entry/quarantine_desk_base.h"
 #include "entry/relay_codec_func.h"
 #include "net/http_connector_base.h"
 #include "net/http_pool_base.h"
-#include "once/home_func.h"
 #include "policy/answer_func.h"
 
 #include <nlohmann/json.hpp>
@@ -88,7 +88,8 @@
     return NotRun(aJourney, once::kReasonQuarantined);
   }
   const std::string key = once::TrialKey(passage, aJourney.mContent, service);
-  const cluster::member home = HomeOf(key, aJourney.mUnreached);
+  const cluster::member home = HomeMember(
+    key, mParts.mManifests.View(), mParts.mSelf, aJourney.mUnreached);
   if (home.mId == mParts.mSelf) {
     return RunTrial(aJourney, passage, key);
   }
@@ -241,32 +242,6 @@
   return config::EmitAnswer(busy ? NotRun(going, "trials_full") : Go(going));
 }
 
-cluster::member
-trial_service::HomeOf(const std::string& aKey,
-                      const std::vector<model::instance_id>& aUnreached) const
-{
-  cluster::member self;
-  self.mId = mParts.mSelf;
-  const cluster::member_view_ptr view = mParts.mManifests.View();
-  if (!view) {
-    return self;
-  }
-  std::vector<model::instance_id> live;
-  for (const auto& [dataCentre, members] : view->Lists()) {
-    for (const cluster::member& member : *members) {
-      const bool reached =
-        std::find(aUnreached.begin(), aUnreached.end(), member.mId) ==
-        aUnreached.end();
-      if (reached && member.mState == cluster::member_state::Alive) {
-        live.push_back(member.mId);
-      }
-    }
-  }
-  const model::instance_id* home = once::HomeOf(aKey, live);
-  const cluster::member* found = home == nullptr ? nullptr : view->Find(*home);
-  return found == nullptr ? self : *found;
-}
-
 model::answer
 trial_service::NotRun(const journey& aJourney, const char* aReason) const
 {
--- a/src/entry/trial_service_base.h
+++ b/src/entry/trial_service_base.h
@@ -63,9 +63,6 @@
                         const cluster::member& aHome);
   journey Start(const model::query& aQuery, const run_terms& aTerms) const;
   once::passage Judge(const journey& aJourney) const;
-  cluster::member HomeOf(
-    const std::string& aKey,
-    const std::vector<model::instance_id>& aUnreached) const;
   model::answer NotRun(const journey& aJourney, const char* aReason) const;
   void Leave(const std::string& aKey, const model::answer& aAnswer);
 
