Peers' replies are parsed once; one place for a leaf's share of connections

Found on reading: a reply to a pull, up to a megabyte of chunk, was parsed twice, since the codec took over its reading but the parse before it stayed; a reply of anti-entropy was parsed again in OnAntiEntropy. The share of a leaf's connections was worked out alike in two functions of leaf_table.

--- a/src/cluster/cluster_core_base.h
+++ b/src/cluster/cluster_core_base.h
@@ -17,6 +17,8 @@
 #include <random>
 #include <string>
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace monsooncroft::cluster {
 
 constexpr auto kMethodAntiEntropy = "anti_entropy";
@@ -112,7 +114,7 @@
                    const moment& aNow,
                    cluster_effects& aOut);
   std::string AnswerAntiEntropy(const std::string& aParams) const;
-  void OnAntiEntropy(const std::string& aResult,
+  void OnAntiEntropy(const nlohmann::json& aItems,
                      const model::endpoint& aPeer,
                      const moment& aNow,
                      cluster_effects& aOut);
--- a/src/cluster/cluster_core_call.cpp
+++ b/src/cluster/cluster_core_call.cpp
@@ -266,15 +266,15 @@
   }
   const auto ended = found->second;
   mCalls.erase(found);
-  const auto result = json::parse(aResult.value_or(""), nullptr, false);
   if (ended.mMethod == kMethodPullChunk) {
     const auto text = ParsePulledText(aResult.value_or(""));
     Carry(
       mManifests.OnText(ended.mHash, ended.mPeer, text, aNow.mNow), aNow, out);
     return out;
   }
+  const auto result = json::parse(aResult.value_or(""), nullptr, false);
   if (result.is_object() && result.contains("items")) {
-    OnAntiEntropy(*aResult, ended.mPeer, aNow, out);
+    OnAntiEntropy(result.at("items"), ended.mPeer, aNow, out);
   }
   Carry(mManifests.OnPeerAnswered(aNow.mNow), aNow, out);
   Collect(out);
@@ -282,14 +282,13 @@
 }
 
 void
-cluster_core::OnAntiEntropy(const std::string& aResult,
+cluster_core::OnAntiEntropy(const json& aItems,
                             const model::endpoint& aPeer,
                             const moment& aNow,
                             cluster_effects& aOut)
 {
-  const auto result = json::parse(aResult);
   std::size_t news = 0;
-  for (const auto& encoded : result.at("items")) {
+  for (const auto& encoded : aItems) {
     const auto item = FromJson(encoded);
     if (!item) {
       continue;
--- a/src/entry/leaf_table.cpp
+++ b/src/entry/leaf_table.cpp
@@ -18,6 +18,13 @@
 constexpr std::uint32_t kChooserSeed = 20261;
 constexpr std::chrono::milliseconds kProbeTimeout{ 1000 };
 
+/** This instance's share of a leaf's connections; one at least. */
+int
+ConnectionsTo(const model::leaf& aLeaf, int aOwners)
+{
+  return std::max(1, link::ShareOf(aLeaf.mConnectionLimit, aOwners).mSteady);
+}
+
 } // namespace
 
 leaf_table::leaf_table(net::http_connector& aConnector,
@@ -84,8 +91,7 @@
       kept.mLeaf = leaf;
       kept.mService = service.mId;
       if (kept.mGate) {
-        kept.mGate->SetConnections(
-          std::max(1, link::ShareOf(leaf.mConnectionLimit, aOwners).mSteady));
+        kept.mGate->SetConnections(ConnectionsTo(leaf, aOwners));
       }
     }
   }
@@ -103,8 +109,7 @@
 {
   if (!aEntry.mGate) {
     gate_options options = mOptions;
-    options.mLink.mLimit = std::max(
-      1, link::ShareOf(aEntry.mLeaf.mConnectionLimit, mOwners).mSteady);
+    options.mLink.mLimit = ConnectionsTo(aEntry.mLeaf, mOwners);
     aEntry.mGate =
       std::make_shared<leaf_gate>(mConnector, *this, aEntry.mLeaf, options);
   }
