--- a/src/entry/leaf_table.cpp
+++ b/src/entry/leaf_table.cpp
@@ -5,7 +5,7 @@
 #include "entry/leaf_table_base.h"
 
 #include "entry/clock_func.h"
-#include "link/connection_share_func.h"
+#include "policy/connection_share_func.h"
 #include "net/http_connector_base.h"
 
 #include <algorithm>
@@ -22,7 +22,7 @@
 int
 ConnectionsTo(const model::leaf& aLeaf, int aOwners)
 {
-  return std::max(1, link::ShareOf(aLeaf.mConnectionLimit, aOwners).mSteady);
+  return std::max(1, policy::ShareOf(aLeaf.mConnectionLimit, aOwners).mSteady);
 }
 
 } // namespace
--- /dev/null
+++ b/src/gateway/caller_connection.cpp
@@ -0,0 +1,247 @@
+/**
+ * @file caller_connection.cpp
+ * One caller's connection.
+ */
+#include "gateway/caller_connection_base.h"
+
+#include "gateway/event_loop_base.h"
+#include "gateway/http_server_base.h"
+#include "gateway/tcp_stream_base.h"
+
+namespace monsooncroft::gateway {
+
+namespace {
+
+/** Bytes kept of requests behind the one in work, before reading pauses. */
+constexpr std::size_t kMostUnread = 65'536;
+/** Wait for the other side's end after ours; covers the way there and back. */
+constexpr std::chrono::milliseconds kLinger{ 1'000 };
+/** A body may take so long in all: several times what the largest one needs
+ * on a slow link. */
+constexpr std::chrono::milliseconds kBodyTimeout{ 10'000 };
+
+} // namespace
+
+void
+exchange::Respond(const http_response& aResponse)
+{
+  if (mConnection != nullptr) {
+    mOnLeft = nullptr;
+    mConnection->Respond(aResponse);
+  }
+}
+
+void
+exchange::Detach()
+{
+  mConnection = nullptr;
+  if (mOnLeft) {
+    const auto handler = std::move(mOnLeft);
+    mOnLeft = nullptr;
+    handler();
+  }
+}
+
+caller_connection::caller_connection(http_server& aServer,
+                                     std::unique_ptr<tcp_stream> aStream,
+                                     model::instant aNow)
+  : mServer(aServer)
+  , mStream(std::move(aStream))
+  , mReader(http_reader::role::Requests)
+  , mSince(aNow)
+{
+  mStream->SetHandler(*this);
+  mStream->StartReading();
+}
+
+caller_connection::~caller_connection()
+{
+  if (mExchange) {
+    mExchange->Detach();
+  }
+}
+
+void
+caller_connection::OnConnected(bool /*aSuccess*/)
+{
+}
+
+void
+caller_connection::OnBytes(std::string_view aBytes)
+{
+  if (mLingering || mRetired) {
+    return;
+  }
+  mUnread.append(aBytes);
+  if (!mExchange) {
+    ReadOn();
+  } else if (mUnread.size() > kMostUnread) {
+    mStream->StopReading();
+    mPaused = true;
+  }
+}
+
+void
+caller_connection::ReadOn()
+{
+  const serving::caller_limits& limits = mServer.Limits();
+  mReader.SetLimits(limits.mMaxHeaderBytes, limits.mMaxBodyBytes);
+  const std::size_t taken = mReader.Feed(mUnread);
+  mUnread.erase(0, taken);
+  const model::instant now = event_loop::Now();
+  switch (mReader.State()) {
+    case http_reader::state::Empty:
+      return;
+    case http_reader::state::Head:
+      if (!mHeadBegun) {
+        mHeadBegun = true;
+        mSince = now;
+      }
+      return;
+    case http_reader::state::Body:
+      AskForBody();
+      return;
+    case http_reader::state::Malformed:
+      return Refuse(400);
+    case http_reader::state::HeadTooLarge:
+      return Refuse(431);
+    case http_reader::state::BodyTooLarge:
+      return Refuse(413);
+    case http_reader::state::Complete:
+      break;
+  }
+  mHeadBegun = false;
+  mContinued = false;
+  mExchange =
+    std::make_shared<exchange>(*this, std::move(mReader.Message()), now);
+  mReader.Next();
+  // The handler may answer at once, which begins the next request.
+  const exchange_ptr begun = mExchange;
+  mServer.Handler().OnRequest(begun);
+}
+
+void
+caller_connection::AskForBody()
+{
+  if (!mHeadBegun) {
+    mHeadBegun = true;
+    mSince = event_loop::Now();
+  }
+  if (mContinued) {
+    return;
+  }
+  mContinued = true;
+  const std::string* expect = mReader.Message().Find("Expect");
+  if (expect != nullptr && SameName(*expect, "100-continue")) {
+    mStream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void
+caller_connection::Refuse(int aStatus)
+{
+  mStream->Write(Serialize({ aStatus, {}, {} }, false, true));
+  CloseGently();
+}
+
+void
+caller_connection::Respond(const http_response& aResponse)
+{
+  const exchange_ptr done = std::move(mExchange);
+  mExchange = nullptr;
+  done->mConnection = nullptr;
+  const bool close =
+    !done->Request().mKeepAlive || mServer.CloseAfterAnswer();
+  const bool noBody = done->Request().mMethod == "HEAD";
+  mStream->Write(Serialize(aResponse, noBody, close));
+  mSince = event_loop::Now();
+  if (close) {
+    CloseGently();
+    return;
+  }
+  if (mPaused) {
+    mPaused = false;
+    mStream->StartReading();
+  }
+  if (!mUnread.empty()) {
+    // Not from here: the handler that answered is still on the stack.
+    mServer.Loop().Defer([server = &mServer, this] {
+      if (server->Has(*this) && !mExchange && !mLingering) {
+        ReadOn();
+      }
+    });
+  }
+}
+
+void
+caller_connection::CloseGently()
+{
+  if (mLingering) {
+    return;
+  }
+  mLingering = true;
+  mSince = event_loop::Now();
+  mUnread.clear();
+  if (mPaused) {
+    mPaused = false;
+    mStream->StartReading();
+  }
+  mStream->ShutDown();
+}
+
+void
+caller_connection::OnEnd(stream_end aEnd)
+{
+  if (aEnd == stream_end::Broken) {
+    mStream->Reset();
+  }
+  Retire();
+}
+
+bool
+caller_connection::Idle() const
+{
+  return !mExchange && !mLingering && mUnread.empty() &&
+         mReader.State() == http_reader::state::Empty;
+}
+
+void
+caller_connection::OnTick(model::instant aNow)
+{
+  const serving::caller_limits& limits = mServer.Limits();
+  const auto waited = aNow - mSince;
+  if (mLingering) {
+    if (waited > kLinger) {
+      Retire();
+    }
+    return;
+  }
+  if (mExchange) {
+    return;
+  }
+  if (mReader.State() == http_reader::state::Head &&
+      waited > limits.mHeaderTimeout) {
+    Refuse(408);
+  } else if (mReader.State() == http_reader::state::Body &&
+             waited > kBodyTimeout) {
+    Refuse(408);
+  } else if (Idle() && waited > limits.mIdleTimeout) {
+    CloseGently();
+  }
+}
+
+void
+caller_connection::Retire()
+{
+  if (!mRetired) {
+    mRetired = true;
+    if (mExchange) {
+      const exchange_ptr left = std::move(mExchange);
+      mExchange = nullptr;
+      left->Detach();
+    }
+    mServer.Retire(*this);
+  }
+}
+
+} // namespace monsooncroft::gateway
--- /dev/null
+++ b/src/gateway/control_plane.cpp
@@ -0,0 +1,427 @@
+/**
+ * @file control_plane.cpp
+ * Configuration, registrations and peers of an instance.
+ */
+#include "gateway/control_plane_base.h"
+
+#include "gateway/event_loop_base.h"
+#include "ops/log_base.h"
+#include "ops/metrics_base.h"
+#include "serving/fleet_codec_func.h"
+
+#include <algorithm>
+
+namespace monsooncroft::gateway {
+
+namespace {
+
+/** Failures in a row after which others take over this one's duties. */
+constexpr int kFailuresToYield = 2;
+
+} // namespace
+
+const char*
+ToText(store_error aError)
+{
+  switch (aError) {
+    case store_error::Unreachable:
+      return "unreachable";
+    case store_error::Refused:
+      return "refused";
+    case store_error::Absent:
+      return "absent";
+    case store_error::HistoryLost:
+      return "history lost";
+    case store_error::Malformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+control_plane::control_plane(event_loop& aLoop,
+                             control_store& aStore,
+                             serving::fleet_view aFleet,
+                             const control_settings& aSettings,
+                             hooks aHooks,
+                             const ops::log& aLog,
+                             ops::metrics& aMetrics)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mFleet(std::move(aFleet))
+  , mSettings(aSettings)
+  , mHooks(std::move(aHooks))
+  , mLog(aLog)
+  , mMetrics(aMetrics)
+  , mPort(
+      aLoop,
+      mFleet.Self().mPeer,
+      [this](std::string_view aBytes, const model::endpoint& aFrom) {
+        OnDatagram(aBytes, aFrom);
+      },
+      [this] { return Snapshot(); })
+{
+}
+
+control_plane::~control_plane() = default;
+
+void
+control_plane::OnTick(model::instant aNow)
+{
+  ReadDirectory(aNow);
+  FollowConfig(aNow);
+}
+
+serving::fleet_message
+control_plane::Message(bool aWantsReply)
+{
+  serving::fleet_message message;
+  message.mMembers = mFleet.Told();
+  message.mWantsReply = aWantsReply;
+  message.mSuspects = mHooks.mSuspects();
+  return message;
+}
+
+void
+control_plane::OnRound(model::instant aNow)
+{
+  const auto targets = mFleet.OnRound(aNow);
+  if (targets.empty()) {
+    return;
+  }
+  const std::string bytes =
+    serving::EncodeMessage(Message(mFleet.Live(aNow).empty()));
+  for (const model::endpoint& target : targets) {
+    mPort.Send(target, bytes);
+  }
+}
+
+void
+control_plane::TellSuspects(
+  const std::vector<serving::leaf_suspicion>& aSuspects,
+  model::instant aNow)
+{
+  serving::fleet_message message;
+  message.mMembers = { mFleet.Self() };
+  message.mSuspects = aSuspects;
+  TellAll(message, aNow);
+}
+
+void
+control_plane::TellAll(const serving::fleet_message& aMessage,
+                       model::instant aNow)
+{
+  const std::string bytes = serving::EncodeMessage(aMessage);
+  for (const serving::fleet_member& member : mFleet.Live(aNow)) {
+    mPort.Send(member.mPeer, bytes);
+  }
+}
+
+void
+control_plane::OnDatagram(std::string_view aBytes, const model::endpoint& aFrom)
+{
+  const auto message = serving::DecodeMessage(aBytes);
+  if (!message || message->mMembers.empty()) {
+    mLog.Write(ops::log_level::Warning,
+               "peer_message_malformed",
+               { { "from", aFrom.ToString() } });
+    mMetrics.Count("peer_messages_malformed");
+    return;
+  }
+  const model::instant now = event_loop::Now();
+  mFleet.OnMessage(*message, now);
+  if (message->mMembers.front().mReachesStore) {
+    mStoreHeard = now;
+  }
+  for (const serving::leaf_suspicion& suspicion : message->mSuspects) {
+    mHooks.mOnSuspicion(suspicion);
+  }
+  for (const serving::directory_delta& delta : message->mDeltas) {
+    mDirectory.OnDelta(delta, now);
+    ApplyLeaves();
+  }
+  if (message->mWantsReply) {
+    mPort.Send(aFrom, serving::EncodeMessage(Message(false)));
+  }
+}
+
+void
+control_plane::OnCallDone(caller_state& aState,
+                          const char* aCall,
+                          std::optional<store_error> aError)
+{
+  const model::instant now = event_loop::Now();
+  aState.mBusy = false;
+  if (!aError) {
+    aState.mPause = model::duration(0);
+    mFailures = 0;
+    mStoreHeard = now;
+    if (!mFleet.Self().mReachesStore) {
+      mLog.Write(
+        ops::log_level::Info, "store_reached", { { "call", std::string(aCall) } });
+      mFleet.SetReachesStore(true);
+    }
+    return;
+  }
+  aState.mPause = std::clamp<model::duration>(
+    2 * aState.mPause, mSettings.mRetryPause, mSettings.mLongestRetryPause);
+  aState.mNext = now + aState.mPause;
+  ++mFailures;
+  mMetrics.Count("store_failures", { { "call", aCall } });
+  if (mFailures == kFailuresToYield) {
+    mLog.Write(ops::log_level::Warning,
+               "store_lost",
+               { { "call", std::string(aCall) },
+                 { "error", std::string(ToText(*aError)) } });
+    mFleet.SetReachesStore(false);
+  }
+}
+
+void
+control_plane::ReadDirectory(model::instant aNow)
+{
+  if (mDirectoryCall.mBusy || aNow < mDirectoryCall.mNext) {
+    return;
+  }
+  const auto complete = mDirectory.LastComplete();
+  if (complete) {
+    const std::size_t rank = std::min(
+      mFleet.Rank("directory", false, aNow), mSettings.mMostStaggers);
+    const auto due = mSettings.mDirectoryPeriod +
+                     static_cast<int>(rank) * mSettings.mDirectoryStagger;
+    if (aNow - *complete < due) {
+      return;
+    }
+  }
+  mDirectoryCall.mBusy = true;
+  mMetrics.Count("store_calls", { { "call", "directory" } });
+  mStore.ReadDirectory(
+    true, [this](const store_result<serving::directory_read>& aResult) {
+      OnDirectory(aResult);
+    });
+}
+
+void
+control_plane::OnDirectory(const store_result<serving::directory_read>& aResult)
+{
+  const auto* error = std::get_if<store_error>(&aResult);
+  OnCallDone(mDirectoryCall,
+             "directory",
+             error == nullptr ? std::nullopt : std::optional(*error));
+  if (error != nullptr) {
+    return;
+  }
+  const model::instant now = event_loop::Now();
+  const auto& read = std::get<serving::directory_read>(aResult);
+  const auto delta = mDirectory.OnRead(read, now);
+  if (!delta) {
+    mLog.Write(ops::log_level::Info,
+               "directory_read_old",
+               { { "revision", static_cast<long>(read.mRevision) },
+                 { "known", static_cast<long>(mDirectory.Revision()) } });
+    mDirectoryCall.mNext = now + mSettings.mRetryPause;
+    return;
+  }
+  ApplyLeaves();
+  serving::fleet_message message;
+  message.mMembers = { mFleet.Self() };
+  message.mDeltas = { *delta };
+  TellAll(message, now);
+}
+
+void
+control_plane::ApplyLeaves()
+{
+  const auto changes = mDirectory.TakeChanges();
+  for (const std::string& id : changes.mRemoved) {
+    mEntries.erase(id);
+    mLog.Write(ops::log_level::Info,
+               "leaf_gone",
+               { { "leaf", id },
+                 { "revision", static_cast<long>(mDirectory.Revision()) } });
+  }
+  for (const serving::leaf_entry& entry : changes.mChanged) {
+    mEntries.insert_or_assign(entry.mId, entry);
+    mLog.Write(ops::log_level::Info,
+               "leaf_known",
+               { { "leaf", entry.mId },
+                 { "service", entry.mService },
+                 { "address", entry.mAddress.ToString() },
+                 { "draining", static_cast<long>(entry.mDraining) },
+                 { "revision", static_cast<long>(entry.mRevision) } });
+  }
+  if (!changes.mRemoved.empty() || !changes.mChanged.empty()) {
+    mHooks.mOnLeaves(changes);
+  }
+}
+
+void
+control_plane::FollowConfig(model::instant aNow)
+{
+  if (const auto newer = mFleet.NewerConfig(aNow);
+      newer && !mPull.mBusy && aNow >= mPull.mNext) {
+    PullConfig(*newer);
+  }
+  if (!mConfig) {
+    if (!mConfigCall.mBusy && aNow >= mConfigCall.mNext) {
+      ReadConfig(true);
+    }
+    return;
+  }
+  if (!mWatchCall.mBusy && aNow >= mWatchCall.mNext &&
+      mFleet.Rank("config", true, aNow) == 0) {
+    WatchConfig();
+  }
+}
+
+void
+control_plane::ReadConfig(bool aMayBeOld)
+{
+  mConfigCall.mBusy = true;
+  mMetrics.Count("store_calls", { { "call", "config" } });
+  mStore.ReadConfig(
+    aMayBeOld, [this](const store_result<config_text>& aResult) {
+      const auto* error = std::get_if<store_error>(&aResult);
+      OnCallDone(mConfigCall,
+                 "config",
+                 error == nullptr ? std::nullopt : std::optional(*error));
+      if (error == nullptr) {
+        const auto& text = std::get<config_text>(aResult);
+        Adopt(text, "store");
+        mWatchAfter = std::max(mWatchAfter, text.mRevision);
+      }
+    });
+}
+
+void
+control_plane::WatchConfig()
+{
+  mWatchCall.mBusy = true;
+  mMetrics.Count("store_calls", { { "call", "watch" } });
+  mStore.WatchConfig(
+    mWatchAfter,
+    mSettings.mWatchWait,
+    [this](const store_result<config_change>& aResult) {
+      const auto* error = std::get_if<store_error>(&aResult);
+      OnCallDone(mWatchCall,
+                 "watch",
+                 error == nullptr ? std::nullopt : std::optional(*error));
+      if (error != nullptr) {
+        // What the watch has missed, if anything, is in the present value.
+        if (!mConfigCall.mBusy && *error == store_error::HistoryLost) {
+          ReadConfig(false);
+          mWatchCall.mNext = event_loop::Now() + mSettings.mRetryPause;
+        }
+        return;
+      }
+      const auto& change = std::get<config_change>(aResult);
+      mWatchAfter = std::max(mWatchAfter, change.mRevision);
+      if (change.mText && Adopt(*change.mText, "watch")) {
+        serving::fleet_message message;
+        message.mMembers = { mFleet.Self() };
+        TellAll(message, event_loop::Now());
+      }
+    });
+}
+
+void
+control_plane::PullConfig(const serving::fleet_member& aFrom)
+{
+  mPull.mBusy = true;
+  mMetrics.Count("peer_pulls");
+  mPort.Pull(aFrom.mPeer, [this, from = aFrom.mName](const std::string& aBytes) {
+    mPull.mBusy = false;
+    OnSnapshot(aBytes, from);
+  });
+}
+
+void
+control_plane::OnSnapshot(const std::string& aBytes, const std::string& aFrom)
+{
+  const model::instant now = event_loop::Now();
+  const auto snapshot = serving::DecodeSnapshot(aBytes);
+  if (!snapshot) {
+    mLog.Write(ops::log_level::Info,
+               "peer_pull_failed",
+               { { "peer", aFrom },
+                 { "bytes", static_cast<long>(aBytes.size()) } });
+    mPull.mNext = now + mSettings.mRetryPause;
+    if (!mConfigCall.mBusy && now >= mConfigCall.mNext) {
+      ReadConfig(false);
+    }
+    return;
+  }
+  Adopt({ snapshot->mConfigRevision, snapshot->mConfigText }, "peer");
+  if (!mDirectory.LastComplete() && snapshot->mDirectory.mRevision > 0) {
+    mDirectory.OnRead(snapshot->mDirectory, now);
+    ApplyLeaves();
+  }
+}
+
+bool
+control_plane::Adopt(const config_text& aText, const char* aSource)
+{
+  auto decoded = mStore.DecodeConfig(aText.mText);
+  if (const auto* error = std::get_if<std::string>(&decoded)) {
+    mLog.Write(ops::log_level::Error,
+               "config_unreadable",
+               { { "source", std::string(aSource) }, { "error", *error } });
+    return false;
+  }
+  auto& content = std::get<serving::routing_config::content>(decoded);
+  const std::uint64_t present = mConfig ? mConfig->Version() : 0;
+  if (content.mVersion <= present) {
+    return false;
+  }
+  mConfig = serving::routing_config::Create(std::move(content));
+  mText = aText;
+  mWatchAfter = std::max(mWatchAfter, aText.mRevision);
+  mFleet.SetConfigVersion(mConfig->Version());
+  mLog.Write(ops::log_level::Info,
+             "config_in_force",
+             { { "version", static_cast<long>(mConfig->Version()) },
+               { "before", static_cast<long>(present) },
+               { "revision", static_cast<long>(aText.mRevision) },
+               { "routes", static_cast<long>(mConfig->Routes().size()) },
+               { "source", std::string(aSource) } });
+  mHooks.mOnConfig(mConfig);
+  return true;
+}
+
+std::string
+control_plane::Snapshot() const
+{
+  serving::fleet_snapshot snapshot;
+  snapshot.mConfigVersion = mConfig ? mConfig->Version() : 0;
+  snapshot.mConfigRevision = mText.mRevision;
+  snapshot.mConfigText = mText.mText;
+  snapshot.mDirectory.mRevision = mDirectory.Revision();
+  for (const auto& [id, entry] : mEntries) {
+    snapshot.mDirectory.mEntries.push_back(entry);
+  }
+  return serving::EncodeSnapshot(snapshot);
+}
+
+void
+control_plane::OnWoke(model::instant aNow)
+{
+  mDirectoryCall.mNext = aNow;
+  mStoreHeard.reset();
+  if (mConfig && !mConfigCall.mBusy) {
+    ReadConfig(false);
+  }
+}
+
+void
+control_plane::SetLeaving(model::instant aNow)
+{
+  mFleet.SetLeaving();
+  OnRound(aNow);
+}
+
+bool
+control_plane::ConfigCertain(model::instant aNow) const
+{
+  return mStoreHeard && aNow - *mStoreHeard < mSettings.mConfigCertainFor;
+}
+
+} // namespace monsooncroft::gateway
--- /dev/null
+++ b/src/gateway/event_loop.cpp
@@ -0,0 +1,68 @@
+/**
+ * @file event_loop.cpp
+ * The one loop of an entry instance.
+ */
+#include "gateway/event_loop_base.h"
+
+#include <uv.h>
+
+#include <utility>
+
+namespace monsooncroft::gateway {
+
+event_loop::event_loop()
+  : mLoop(uv_default_loop())
+  , mCheck(new uv_check_t())
+{
+  uv_check_init(mLoop, mCheck);
+  mCheck->data = this;
+  uv_check_start(mCheck, [](uv_check_t* aCheck) {
+    static_cast<event_loop*>(aCheck->data)->RunDeferred();
+  });
+}
+
+event_loop::~event_loop()
+{
+  uv_close(reinterpret_cast<uv_handle_t*>(mCheck), [](uv_handle_t* aHandle) {
+    delete reinterpret_cast<uv_check_t*>(aHandle);
+  });
+  RunDeferred();
+  uv_run(mLoop, UV_RUN_NOWAIT);
+}
+
+void
+event_loop::Run()
+{
+  uv_run(mLoop, UV_RUN_DEFAULT);
+}
+
+void
+event_loop::Stop()
+{
+  uv_stop(mLoop);
+}
+
+model::instant
+event_loop::Now()
+{
+  return model::instant(model::duration(uv_hrtime() / 1000));
+}
+
+void
+event_loop::Defer(std::function<void()> aWork)
+{
+  mDeferred.push_back(std::move(aWork));
+}
+
+void
+event_loop::RunDeferred()
+{
+  while (!mDeferred.empty()) {
+    const auto work = std::exchange(mDeferred, {});
+    for (const auto& each : work) {
+      each();
+    }
+  }
+}
+
+} // namespace monsooncroft::gateway
--- /dev/null
+++ b/src/gateway/http_channel.cpp
@@ -0,0 +1,114 @@
+/**
+ * @file http_channel.cpp
+ * Calls to one HTTP server, one after the other.
+ */
+#include "gateway/http_channel_base.h"
+
+#include "gateway/event_loop_base.h"
+#include "gateway/tcp_stream_base.h"
+
+namespace monsooncroft::gateway {
+
+http_channel::http_channel(event_loop& aLoop, model::endpoint aServer)
+  : mLoop(aLoop)
+  , mServer(std::move(aServer))
+  , mReader(http_reader::role::Responses)
+  , mTimer(aLoop, [this] { Finish(std::nullopt, false); })
+{
+}
+
+http_channel::~http_channel() = default;
+
+void
+http_channel::SetServer(const model::endpoint& aServer)
+{
+  if (mServer != aServer) {
+    mServer = aServer;
+    Finish(std::nullopt, false);
+  }
+}
+
+void
+http_channel::Call(std::string aRequest, model::duration aTimeout, done aDone)
+{
+  mDone = std::move(aDone);
+  mTimer.Start(aTimeout);
+  if (mStream && mConnected) {
+    mStream->Write(std::move(aRequest));
+    return;
+  }
+  mRequest = std::move(aRequest);
+  mConnected = false;
+  mStream = tcp_stream::Connect(mLoop, mServer, *this);
+  if (!mStream) {
+    mTimer.Start(model::duration(0));
+  }
+}
+
+void
+http_channel::OnConnected(bool aSuccess)
+{
+  if (!aSuccess) {
+    Finish(std::nullopt, false);
+    return;
+  }
+  mConnected = true;
+  mStream->StartReading();
+  mStream->Write(std::move(mRequest));
+  mRequest.clear();
+}
+
+void
+http_channel::OnBytes(std::string_view aBytes)
+{
+  if (!mDone) {
+    Drop();
+    return;
+  }
+  const std::size_t taken = mReader.Feed(aBytes);
+  if (mReader.State() >= http_reader::state::Malformed) {
+    Finish(std::nullopt, false);
+  } else if (mReader.State() == http_reader::state::Complete) {
+    http_message answer = std::move(mReader.Message());
+    mReader.Next();
+    const bool keep = answer.mKeepAlive && taken == aBytes.size();
+    Finish(std::move(answer), keep);
+  }
+}
+
+void
+http_channel::OnEnd(stream_end aEnd)
+{
+  if (aEnd == stream_end::Finished) {
+    mReader.FeedEnd();
+    if (mReader.State() == http_reader::state::Complete) {
+      Finish(std::move(mReader.Message()), false);
+      return;
+    }
+  }
+  Finish(std::nullopt, false);
+}
+
+void
+http_channel::Finish(std::optional<http_message> aAnswer, bool aKeep)
+{
+  mTimer.Stop();
+  if (!aKeep) {
+    Drop();
+  }
+  if (mDone) {
+    const done handler = std::move(mDone);
+    mDone = nullptr;
+    handler(std::move(aAnswer));
+  }
+}
+
+void
+http_channel::Drop()
+{
+  mConnected = false;
+  mReader.Next();
+  mLoop.Defer([stream = std::shared_ptr<tcp_stream>(std::move(mStream))] {});
+}
+
+} // namespace monsooncroft::gateway
--- /dev/null
+++ b/src/gateway/http_reader.cpp
@@ -0,0 +1,251 @@
+/**
+ * @file http_reader.cpp
+ * Parsing HTTP/1.1 by http_parser.
+ */
+#include "gateway/http_reader_base.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <cctype>
+#include <limits>
+
+namespace monsooncroft::gateway {
+
+bool
+SameName(std::string_view aLeft, std::string_view aRight)
+{
+  return std::equal(aLeft.begin(),
+                    aLeft.end(),
+                    aRight.begin(),
+                    aRight.end(),
+                    [](unsigned char aOne, unsigned char aOther) {
+                      return std::tolower(aOne) == std::tolower(aOther);
+                    });
+}
+
+const std::string*
+http_message::Find(std::string_view aName) const
+{
+  for (const http_field& field : mFields) {
+    if (field.mName.size() == aName.size() && SameName(field.mName, aName)) {
+      return &field.mValue;
+    }
+  }
+  return nullptr;
+}
+
+namespace {
+
+/** Ours is checked against the limits in force; the library's stays above. */
+constexpr std::size_t kMostHeadBytes = 1U << 20U;
+
+} // namespace
+
+/** The library's parser and what it has read. */
+struct http_reader::parser
+{
+  ::http_parser mParser{};
+  http_parser_settings mSettings{};
+  http_message mMessage;
+  state mState = state::Empty;
+  std::size_t mHeadBytes = 0;
+  std::size_t mHeadLimit = kMostHeadBytes;
+  std::size_t mBodyLimit = std::numeric_limits<std::size_t>::max();
+  bool mInValue = false;
+  bool mNoBody = false;
+
+  static parser& Of(::http_parser* aParser)
+  {
+    return *static_cast<parser*>(aParser->data);
+  }
+
+  int CountHead(std::size_t aLength)
+  {
+    mHeadBytes += aLength;
+    if (mHeadBytes > mHeadLimit) {
+      mState = state::HeadTooLarge;
+      return -1;
+    }
+    return 0;
+  }
+
+  static int OnBegin(::http_parser* aParser)
+  {
+    Of(aParser).mState = state::Head;
+    return 0;
+  }
+
+  static int OnTarget(::http_parser* aParser, const char* aAt, size_t aLength)
+  {
+    parser& self = Of(aParser);
+    self.mMessage.mTarget.append(aAt, aLength);
+    return self.CountHead(aLength);
+  }
+
+  static int OnField(::http_parser* aParser, const char* aAt, size_t aLength)
+  {
+    parser& self = Of(aParser);
+    if (self.mInValue || self.mMessage.mFields.empty()) {
+      self.mMessage.mFields.emplace_back();
+      self.mInValue = false;
+    }
+    self.mMessage.mFields.back().mName.append(aAt, aLength);
+    return self.CountHead(aLength);
+  }
+
+  static int OnValue(::http_parser* aParser, const char* aAt, size_t aLength)
+  {
+    parser& self = Of(aParser);
+    self.mInValue = true;
+    self.mMessage.mFields.back().mValue.append(aAt, aLength);
+    return self.CountHead(aLength + 4);
+  }
+
+  static int OnHead(::http_parser* aParser)
+  {
+    parser& self = Of(aParser);
+    self.mMessage.mStatus = aParser->status_code;
+    self.mMessage.mKeepAlive = http_should_keep_alive(aParser) != 0;
+    // No upgrade is ever agreed to, so what follows is HTTP still.
+    aParser->upgrade = 0;
+    if (aParser->type == HTTP_REQUEST) {
+      self.mMessage.mMethod =
+        http_method_str(static_cast<http_method>(aParser->method));
+    } else {
+      self.mMessage.mEndsWithStream =
+        http_message_needs_eof(aParser) != 0 && !self.mNoBody;
+    }
+    const bool hasLength =
+      aParser->content_length != std::numeric_limits<std::uint64_t>::max();
+    if (hasLength && aParser->content_length > self.mBodyLimit) {
+      self.mState = state::BodyTooLarge;
+      return -1;
+    }
+    self.mState = state::Body;
+    return self.mNoBody ? 1 : 0;
+  }
+
+  static int OnBody(::http_parser* aParser, const char* aAt, size_t aLength)
+  {
+    parser& self = Of(aParser);
+    self.mMessage.mBody.append(aAt, aLength);
+    if (self.mMessage.mBody.size() > self.mBodyLimit) {
+      self.mState = state::BodyTooLarge;
+      return -1;
+    }
+    return 0;
+  }
+
+  static int OnComplete(::http_parser* aParser)
+  {
+    Of(aParser).mState = state::Complete;
+    http_parser_pause(aParser, 1);
+    return 0;
+  }
+
+  /** Needed while the library decides whether the body ends with the stream. */
+  static int http_message_needs_eof(const ::http_parser* aParser)
+  {
+    const bool bodyless = aParser->status_code / 100 == 1 ||
+                          aParser->status_code == 204 ||
+                          aParser->status_code == 304;
+    const bool framed =
+      (aParser->flags & F_CHUNKED) != 0 ||
+      aParser->content_length != std::numeric_limits<std::uint64_t>::max();
+    return !bodyless && !framed ? 1 : 0;
+  }
+};
+
+http_reader::http_reader(role aRole)
+  : mParser(std::make_unique<parser>())
+{
+  static const bool sLimitSet = [] {
+    http_parser_set_max_header_size(kMostHeadBytes);
+    return true;
+  }();
+  static_cast<void>(sLimitSet);
+  http_parser_init(&mParser->mParser,
+                   aRole == role::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
+  mParser->mParser.data = mParser.get();
+  http_parser_settings& settings = mParser->mSettings;
+  http_parser_settings_init(&settings);
+  settings.on_message_begin = parser::OnBegin;
+  settings.on_url = parser::OnTarget;
+  settings.on_header_field = parser::OnField;
+  settings.on_header_value = parser::OnValue;
+  settings.on_headers_complete = parser::OnHead;
+  settings.on_body = parser::OnBody;
+  settings.on_message_complete = parser::OnComplete;
+}
+
+http_reader::~http_reader() = default;
+
+void
+http_reader::SetLimits(std::size_t aHeadBytes, std::size_t aBodyBytes)
+{
+  mParser->mHeadLimit = aHeadBytes;
+  mParser->mBodyLimit = aBodyBytes;
+}
+
+void
+http_reader::ExpectNoBody(bool aNoBody)
+{
+  mParser->mNoBody = aNoBody;
+}
+
+std::size_t
+http_reader::Feed(std::string_view aBytes)
+{
+  const state before = mParser->mState;
+  if (before == state::Complete || before >= state::Malformed ||
+      aBytes.empty()) {
+    return 0;
+  }
+  const std::size_t taken = http_parser_execute(
+    &mParser->mParser, &mParser->mSettings, aBytes.data(), aBytes.size());
+  const auto error = HTTP_PARSER_ERRNO(&mParser->mParser);
+  if (mParser->mState == state::Complete || error == HPE_OK ||
+      mParser->mState >= state::Malformed) {
+    return taken;
+  }
+  mParser->mState = error == HPE_HEADER_OVERFLOW ? state::HeadTooLarge
+                                                 : state::Malformed;
+  return taken;
+}
+
+void
+http_reader::FeedEnd()
+{
+  if (mParser->mState == state::Body && mParser->mMessage.mEndsWithStream) {
+    http_parser_execute(&mParser->mParser, &mParser->mSettings, nullptr, 0);
+  }
+}
+
+http_reader::state
+http_reader::State() const
+{
+  return mParser->mState;
+}
+
+http_message&
+http_reader::Message()
+{
+  return mParser->mMessage;
+}
+
+void
+http_reader::Next()
+{
+  http_parser_pause(&mParser->mParser, 0);
+  const auto type = static_cast<http_parser_type>(mParser->mParser.type);
+  // A response that ended with its stream leaves the library's parser dead.
+  http_parser_init(&mParser->mParser, type);
+  mParser->mMessage = {};
+  mParser->mState = state::Empty;
+  mParser->mHeadBytes = 0;
+  mParser->mInValue = false;
+  mParser->mNoBody = false;
+}
+
+} // namespace monsooncroft::gateway
--- /dev/null
+++ b/src/gateway/http_server_base.h
@@ -0,0 +1,75 @@
+/**
+ * @file http_server_base.h
+ * A listening address and its connections.
+ */
+#ifndef MONSOONCROFT_GATEWAY_HTTP_SERVER_BASE_H
+#define MONSOONCROFT_GATEWAY_HTTP_SERVER_BASE_H
+
+#include "model/time_type.h"
+#include "serving/route_type.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+using uv_tcp_t = struct uv_tcp_s;
+
+namespace monsooncroft::model {
+struct endpoint;
+}
+
+namespace monsooncroft::gateway {
+
+class caller_connection;
+class event_loop;
+class request_handler;
+
+/** Accepts callers and gives their requests, one a connection, to a handler. */
+class http_server
+{
+public:
+  /** @throws gateway_error if the address cannot be bound. */
+  http_server(event_loop& aLoop,
+              const model::endpoint& aAddress,
+              request_handler& aHandler);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+  http_server(http_server&&) = delete;
+  http_server& operator=(http_server&&) = delete;
+
+  void SetLimits(const serving::caller_limits& aLimits) { mLimits = aLimits; }
+  const serving::caller_limits& Limits() const { return mLimits; }
+  /** Each answer ends its connection, so that callers go elsewhere. */
+  void SetCloseAfterAnswer(bool aClose) { mCloseAfterAnswer = aClose; }
+  bool CloseAfterAnswer() const { return mCloseAfterAnswer; }
+  void StopAccepting();
+  void CloseIdle(); ///< Ends connections on which no request is begun.
+  void OnTick(model::instant aNow); ///< Timeouts of slow and idle callers.
+
+  std::size_t Connections() const { return mConnections.size(); }
+  std::size_t Busy() const; ///< Connections with a request begun.
+
+  // For the connections.
+  event_loop& Loop() { return mLoop; }
+  request_handler& Handler() { return mHandler; }
+  void Retire(caller_connection& aConnection);
+  bool Has(caller_connection& aConnection) const;
+
+private:
+  void Accept();
+
+  event_loop& mLoop;
+  request_handler& mHandler;
+  serving::caller_limits mLimits;
+  bool mCloseAfterAnswer = false;
+  uv_tcp_t* mListener;
+  std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>>
+    mConnections;
+};
+
+} // namespace monsooncroft::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/instance_settings_type.h
@@ -0,0 +1,42 @@
+/**
+ * @file instance_settings_type.h
+ * Settings of an entry instance of the asynchronous data path.
+ */
+#ifndef MONSOONCROFT_GATEWAY_INSTANCE_SETTINGS_TYPE_H
+#define MONSOONCROFT_GATEWAY_INSTANCE_SETTINGS_TYPE_H
+
+#include "gateway/control_settings_type.h"
+#include "gateway/header_names_type.h"
+#include "gateway/query_settings_type.h"
+#include "model/endpoint_type.h"
+#include "serving/extra_budget_base.h"
+
+#include <string>
+#include <vector>
+
+namespace monsooncroft::gateway {
+
+/** What an instance is told at its start. */
+struct instance_settings
+{
+  std::string mName;
+  std::string mDataCentre;
+  model::endpoint mCallers;   ///< Where callers connect.
+  model::endpoint mReadiness; ///< Where the balancer asks; metrics too.
+  model::endpoint mPeers;     ///< UDP and TCP between instances.
+  std::vector<model::endpoint> mSeeds; ///< Peers that may be alive.
+  model::endpoint mStore;
+  std::string mReadinessPath;
+  header_names mNames;
+  serving::budget_terms mBudget;
+  query_settings mQuery;
+  control_settings mControl;
+  /** From the signal to the end of the process. */
+  std::chrono::milliseconds mStopBound{ 6'000 };
+
+  bool operator==(const instance_settings&) const = default;
+};
+
+} // namespace monsooncroft::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/leaf_peer.cpp
@@ -0,0 +1,240 @@
+/**
+ * @file leaf_peer.cpp
+ * One leaf, as this instance works with it.
+ */
+#include "gateway/leaf_peer_base.h"
+
+#include "gateway/event_loop_base.h"
+#include "gateway/leaf_link_base.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace monsooncroft::gateway {
+
+leaf_peer::leaf_peer(event_loop& aLoop,
+                     const header_names& aNames,
+                     leaf_observer& aObserver,
+                     serving::leaf_entry aEntry)
+  : mLoop(aLoop)
+  , mNames(aNames)
+  , mObserver(aObserver)
+  , mEntry(std::move(aEntry))
+{
+  const model::instant now = event_loop::Now();
+  mLoad.SetColdUntil(now + std::chrono::milliseconds(mEntry.mColdMs));
+}
+
+leaf_peer::~leaf_peer() = default;
+
+void
+leaf_peer::Update(const serving::leaf_entry& aEntry, model::instant aNow)
+{
+  const bool reborn = aEntry.mBorn != mEntry.mBorn ||
+                      aEntry.mAddress != mEntry.mAddress;
+  mEntry = aEntry;
+  mLoad.SetColdUntil(aNow + std::chrono::milliseconds(aEntry.mColdMs));
+  if (!reborn) {
+    return;
+  }
+  // A new incarnation knows nothing of the old connections.
+  mMisdirected = false;
+  const auto links = std::exchange(mLinks, {});
+  for (const auto& link : links) {
+    link->Close(attempt_end::Lost, "the leaf started again");
+  }
+  mLoad = serving::leaf_load();
+  mLoad.SetColdUntil(aNow + std::chrono::milliseconds(aEntry.mColdMs));
+}
+
+void
+leaf_peer::Submit(leaf_attempt_ptr aAttempt, model::instant aNow)
+{
+  aAttempt->mQueued = aNow;
+  mLoad.OnSent(aNow);
+  const auto place = std::upper_bound(
+    mWaiting.begin(),
+    mWaiting.end(),
+    aAttempt->mDue,
+    [](model::instant aDue, const leaf_attempt_ptr& aOther) {
+      return aDue < aOther->mDue;
+    });
+  mWaiting.insert(place, std::move(aAttempt));
+  Dispatch(aNow);
+}
+
+bool
+leaf_peer::TakeWaiting(leaf_link& aLink, model::instant aNow)
+{
+  DropExpired(aNow);
+  if (mWaiting.empty()) {
+    return false;
+  }
+  const leaf_attempt_ptr attempt = mWaiting.front();
+  mWaiting.pop_front();
+  aLink.Send(attempt, aNow);
+  return true;
+}
+
+void
+leaf_peer::DropExpired(model::instant aNow)
+{
+  std::vector<leaf_attempt_ptr> expired;
+  for (auto place = mWaiting.begin(); place != mWaiting.end();) {
+    const leaf_attempt_ptr& attempt = *place;
+    if (attempt->mObserver && aNow < attempt->mDeadline) {
+      ++place;
+      continue;
+    }
+    mLoad.OnDropped(attempt->mQueued);
+    expired.push_back(attempt);
+    place = mWaiting.erase(place);
+  }
+  for (const leaf_attempt_ptr& attempt : expired) {
+    attempt->End({ attempt_end::NotSent, {}, "expired in the queue" });
+  }
+}
+
+void
+leaf_peer::Dispatch(model::instant aNow)
+{
+  for (std::size_t place = 0; place < mLinks.size() && !mWaiting.empty();
+       ++place) {
+    if (mLinks[place]->Usable(aNow)) {
+      TakeWaiting(*mLinks[place], aNow);
+    }
+  }
+  const auto connecting =
+    std::count_if(mLinks.begin(), mLinks.end(), [](const auto& aLink) {
+      return aLink->Connecting();
+    });
+  if (static_cast<std::size_t>(connecting) < mWaiting.size() &&
+      mLinks.size() < mShare && !mRetired && !mLoad.Refuses(aNow)) {
+    Open(aNow);
+  }
+}
+
+void
+leaf_peer::Open(model::instant /*aNow*/)
+{
+  mObserver.OnLinkOpened(*this);
+  mLinks.push_back(
+    std::make_unique<leaf_link>(mLoop, *this, mEntry.mAddress, mNames));
+}
+
+void
+leaf_peer::OnTick(bool aWarm, model::instant aNow)
+{
+  DropExpired(aNow);
+  std::vector<leaf_link*> links;
+  links.reserve(mLinks.size());
+  for (const auto& link : mLinks) {
+    links.push_back(link.get());
+  }
+  for (leaf_link* link : links) {
+    if (Has(*link)) {
+      link->OnTick(aNow);
+    }
+  }
+  if (mRetired) {
+    Retire();
+    return;
+  }
+  if (aWarm && mLinks.empty() && TakesWork() && !mLoad.Refuses(aNow)) {
+    Open(aNow);
+  }
+  Dispatch(aNow);
+}
+
+void
+leaf_peer::Retire()
+{
+  mRetired = true;
+  FailWaiting("the leaf is gone");
+  std::vector<leaf_link*> links;
+  for (const auto& link : mLinks) {
+    links.push_back(link.get());
+  }
+  for (leaf_link* link : links) {
+    if (Has(*link) && !link->Busy()) {
+      link->Close(attempt_end::NotSent, "the leaf is gone");
+    }
+  }
+}
+
+bool
+leaf_peer::Quiet() const
+{
+  return mLinks.empty() && mWaiting.empty();
+}
+
+void
+leaf_peer::FailWaiting(const char* aReason)
+{
+  const auto waiting = std::exchange(mWaiting, {});
+  for (const leaf_attempt_ptr& attempt : waiting) {
+    mLoad.OnDropped(attempt->mQueued);
+    attempt->End({ attempt_end::NotSent, {}, aReason });
+  }
+}
+
+void
+leaf_peer::OnLinkConnected(model::duration aRoundTrip, model::instant aNow)
+{
+  mLoad.OnConnected(aRoundTrip, aNow);
+  Dispatch(aNow);
+}
+
+void
+leaf_peer::OnLinkClosed(leaf_link& aLink,
+                        bool aWasConnecting,
+                        bool aSilent,
+                        const char* aReason)
+{
+  const auto place =
+    std::find_if(mLinks.begin(), mLinks.end(), [&](const auto& aOwned) {
+      return aOwned.get() == &aLink;
+    });
+  if (place != mLinks.end()) {
+    // The link's own functions are on the stack.
+    mLoop.Defer([link = std::shared_ptr<leaf_link>(std::move(*place))] {});
+    mLinks.erase(place);
+  }
+  if (std::strcmp(aReason, "idle") != 0) {
+    mObserver.OnLinkLost(*this, aReason);
+  }
+  if (aWasConnecting) {
+    mLoad.OnRefused(event_loop::Now());
+    if (mLinks.empty()) {
+      FailWaiting(aReason);
+    }
+  }
+  static_cast<void>(aSilent);
+}
+
+void
+leaf_peer::OnAttemptDone(const leaf_attempt& aAttempt,
+                         attempt_end aEnd,
+                         model::instant aNow)
+{
+  if (aEnd == attempt_end::Answered || aEnd == attempt_end::NotRun) {
+    std::optional<model::duration> work;
+    if (aEnd == attempt_end::Answered && aAttempt.mSent) {
+      work = aNow - *aAttempt.mSent - mLoad.RoundTrip();
+    }
+    mLoad.OnAnswer(aAttempt.mQueued, work, aAttempt.mUsualWork, aNow);
+  } else {
+    mLoad.OnDropped(aAttempt.mQueued);
+  }
+}
+
+bool
+leaf_peer::Has(const leaf_link& aLink) const
+{
+  return std::any_of(mLinks.begin(), mLinks.end(), [&](const auto& aOwned) {
+    return aOwned.get() == &aLink;
+  });
+}
+
+} // namespace monsooncroft::gateway
--- /dev/null
+++ b/src/gateway/leaf_peer_base.h
@@ -0,0 +1,107 @@
+/**
+ * @file leaf_peer_base.h
+ * One leaf, as this instance works with it.
+ */
+#ifndef MONSOONCROFT_GATEWAY_LEAF_PEER_BASE_H
+#define MONSOONCROFT_GATEWAY_LEAF_PEER_BASE_H
+
+#include "gateway/leaf_attempt_type.h"
+#include "serving/leaf_entry_type.h"
+#include "serving/leaf_load_base.h"
+
+#include <deque>
+#include <memory>
+#include <vector>
+
+namespace monsooncroft::gateway {
+
+class event_loop;
+class leaf_link;
+class leaf_observer;
+struct header_names;
+
+/** A leaf's registration, load, connections and the attempts that wait. */
+class leaf_peer
+{
+public:
+  leaf_peer(event_loop& aLoop,
+            const header_names& aNames,
+            leaf_observer& aObserver,
+            serving::leaf_entry aEntry);
+  ~leaf_peer();
+  leaf_peer(const leaf_peer&) = delete;
+  leaf_peer& operator=(const leaf_peer&) = delete;
+  leaf_peer(leaf_peer&&) = delete;
+  leaf_peer& operator=(leaf_peer&&) = delete;
+
+  const serving::leaf_entry& Entry() const { return mEntry; }
+  void Update(const serving::leaf_entry& aEntry, model::instant aNow);
+  void SetShare(std::size_t aLinks) { mShare = aLinks; }
+  /** It may be given new work. */
+  bool TakesWork() const { return !mEntry.mDraining && !mMisdirected; }
+  serving::leaf_load& Load() { return mLoad; }
+  const serving::leaf_load& Load() const { return mLoad; }
+  std::size_t Waiting() const { return mWaiting.size(); }
+
+  /** Sends the attempt as soon as a connection is free, earliest due first. */
+  void Submit(leaf_attempt_ptr aAttempt, model::instant aNow);
+  /** Sends what waits, opens connections up to the share. */
+  void Dispatch(model::instant aNow);
+  /** @param aWarm Keep a connection open without work. */
+  void OnTick(bool aWarm, model::instant aNow);
+  /** No new work; connections close as they become free. */
+  void Retire();
+  bool Quiet() const; ///< No connection is busy, nothing waits.
+  /** All waits that no connection has taken up end unsent. */
+  void FailWaiting(const char* aReason);
+
+  // For the links.
+  void OnLinkConnected(model::duration aRoundTrip, model::instant aNow);
+  void OnLinkClosed(leaf_link& aLink,
+                    bool aWasConnecting,
+                    bool aSilent,
+                    const char* aReason);
+  void OnAttemptDone(const leaf_attempt& aAttempt,
+                     attempt_end aEnd,
+                     model::instant aNow);
+  void OnMisdirected() { mMisdirected = true; }
+  bool Has(const leaf_link& aLink) const;
+
+private:
+  void Open(model::instant aNow);
+  bool TakeWaiting(leaf_link& aLink, model::instant aNow);
+  void DropExpired(model::instant aNow);
+
+  event_loop& mLoop;
+  const header_names& mNames;
+  leaf_observer& mObserver;
+  serving::leaf_entry mEntry;
+  serving::leaf_load mLoad;
+  std::size_t mShare = 1;
+  bool mMisdirected = false; ///< Another leaf answers at its address.
+  bool mRetired = false;
+  std::vector<std::unique_ptr<leaf_link>> mLinks;
+  std::deque<leaf_attempt_ptr> mWaiting; ///< Earliest due first.
+};
+
+using leaf_peer_ptr = std::shared_ptr<leaf_peer>;
+
+/** Who counts what happens at leaves. */
+class leaf_observer
+{
+public:
+  leaf_observer() = default;
+  virtual ~leaf_observer() = default;
+  leaf_observer(const leaf_observer&) = delete;
+  leaf_observer& operator=(const leaf_observer&) = delete;
+  leaf_observer(leaf_observer&&) = delete;
+  leaf_observer& operator=(leaf_observer&&) = delete;
+
+  virtual void OnLinkOpened(const leaf_peer& aLeaf) = 0;
+  /** @param aReason In few words. */
+  virtual void OnLinkLost(const leaf_peer& aLeaf, const char* aReason) = 0;
+};
+
+} // namespace monsooncroft::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/leaf_table.cpp
@@ -0,0 +1,150 @@
+/**
+ * @file leaf_table.cpp
+ * All leaves that this instance knows.
+ */
+#include "gateway/leaf_table_base.h"
+
+#include "gateway/event_loop_base.h"
+#include "policy/connection_share_func.h"
+
+#include <algorithm>
+
+namespace monsooncroft::gateway {
+
+namespace {
+
+/** Connections of one instance to one leaf at most: more would only queue at
+ * the leaf, where urgent work cannot overtake. */
+constexpr int kMostLinksPerSlot = 1;
+/** How long peers avoid a leaf on this instance's word; renewed each round. */
+constexpr std::uint32_t kSuspicionMs = 350;
+
+} // namespace
+
+leaf_table::leaf_table(event_loop& aLoop,
+                       const header_names& aNames,
+                       leaf_observer& aObserver)
+  : mLoop(aLoop)
+  , mNames(aNames)
+  , mObserver(aObserver)
+{
+}
+
+leaf_table::~leaf_table() = default;
+
+void
+leaf_table::Remove(const std::string& aId)
+{
+  const auto found = mById.find(aId);
+  if (found == mById.end()) {
+    return;
+  }
+  const leaf_peer_ptr leaf = found->second;
+  std::erase(mByService[leaf->Entry().mService], leaf);
+  mById.erase(found);
+  mRetired.push_back(leaf);
+  leaf->Retire();
+}
+
+void
+leaf_table::Apply(const serving::leaf_directory::changes& aChanges,
+                  model::instant aNow)
+{
+  for (const std::string& id : aChanges.mRemoved) {
+    Remove(id);
+  }
+  for (const serving::leaf_entry& entry : aChanges.mChanged) {
+    const auto found = mById.find(entry.mId);
+    if (found != mById.end() &&
+        found->second->Entry().mService == entry.mService) {
+      found->second->Update(entry, aNow);
+      continue;
+    }
+    Remove(entry.mId);
+    auto leaf =
+      std::make_shared<leaf_peer>(mLoop, mNames, mObserver, entry);
+    mByService[entry.mService].push_back(leaf);
+    mById.emplace(entry.mId, std::move(leaf));
+  }
+}
+
+void
+leaf_table::SetShares(const serving::routing_config* aConfig,
+                      std::size_t aInstances)
+{
+  for (const auto& [id, leaf] : mById) {
+    const serving::leaf_entry& entry = leaf->Entry();
+    const int limit =
+      aConfig == nullptr ? 1 : aConfig->MaxConnections(entry.mService);
+    const int share =
+      policy::ShareOf(limit, static_cast<int>(aInstances)).mSteady;
+    const int most = std::max(1, kMostLinksPerSlot * entry.mSlots);
+    leaf->SetShare(std::clamp(share, 1, most));
+  }
+}
+
+const leaf_table::leaf_list&
+leaf_table::Of(const std::string& aService) const
+{
+  static const leaf_list sNone;
+  const auto found = mByService.find(aService);
+  return found == mByService.end() ? sNone : found->second;
+}
+
+leaf_peer*
+leaf_table::Find(const std::string& aId)
+{
+  const auto found = mById.find(aId);
+  return found == mById.end() ? nullptr : found->second.get();
+}
+
+void
+leaf_table::OnTick(const serving::routing_config* aConfig,
+                   model::instant aNow)
+{
+  std::vector<leaf_peer_ptr> all;
+  all.reserve(mById.size());
+  for (const auto& [id, leaf] : mById) {
+    all.push_back(leaf);
+  }
+  for (const leaf_peer_ptr& leaf : all) {
+    leaf->OnTick(aConfig != nullptr, aNow);
+  }
+  for (const leaf_peer_ptr& leaf : mRetired) {
+    leaf->OnTick(false, aNow);
+  }
+  std::erase_if(mRetired,
+                [](const leaf_peer_ptr& aLeaf) { return aLeaf->Quiet(); });
+}
+
+std::vector<serving::leaf_suspicion>
+leaf_table::Suspects(model::duration aUsualWork, model::instant aNow) const
+{
+  std::vector<serving::leaf_suspicion> suspects;
+  for (const auto& [id, leaf] : mById) {
+    if (leaf->Load().SeenStandingStill(aUsualWork, aNow)) {
+      suspects.push_back({ id, kSuspicionMs });
+    }
+  }
+  return suspects;
+}
+
+double
+leaf_table::Reachable(const std::vector<std::string>& aServices,
+                      model::instant aNow) const
+{
+  if (aServices.empty()) {
+    return 1;
+  }
+  const auto reached =
+    std::count_if(aServices.begin(), aServices.end(), [&](const auto& aName) {
+      const leaf_list& leaves = Of(aName);
+      return std::any_of(
+        leaves.begin(), leaves.end(), [&](const leaf_peer_ptr& aLeaf) {
+          return aLeaf->TakesWork() && aLeaf->Load().Answers(aNow);
+        });
+    });
+  return static_cast<double>(reached) / static_cast<double>(aServices.size());
+}
+
+} // namespace monsooncroft::gateway
--- /dev/null
+++ b/src/gateway/leaf_table_base.h
@@ -0,0 +1,62 @@
+/**
+ * @file leaf_table_base.h
+ * All leaves that this instance knows.
+ */
+#ifndef MONSOONCROFT_GATEWAY_LEAF_TABLE_BASE_H
+#define MONSOONCROFT_GATEWAY_LEAF_TABLE_BASE_H
+
+#include "gateway/leaf_peer_base.h"
+#include "serving/fleet_type.h"
+#include "serving/leaf_directory_base.h"
+#include "serving/routing_config_base.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace monsooncroft::gateway {
+
+/** Leaves by id and by service, with their share of connections. */
+class leaf_table
+{
+public:
+  leaf_table(event_loop& aLoop,
+             const header_names& aNames,
+             leaf_observer& aObserver);
+  ~leaf_table();
+  leaf_table(const leaf_table&) = delete;
+  leaf_table& operator=(const leaf_table&) = delete;
+  leaf_table(leaf_table&&) = delete;
+  leaf_table& operator=(leaf_table&&) = delete;
+
+  using leaf_list = std::vector<leaf_peer_ptr>;
+
+  void Apply(const serving::leaf_directory::changes& aChanges,
+             model::instant aNow);
+  /** @param aInstances That hold connections, lately lost ones included. */
+  void SetShares(const serving::routing_config* aConfig,
+                 std::size_t aInstances);
+  const leaf_list& Of(const std::string& aService) const;
+  leaf_peer* Find(const std::string& aId);
+  void OnTick(const serving::routing_config* aConfig, model::instant aNow);
+  /** Leaves seen standing still or refusing, for the peers. */
+  std::vector<serving::leaf_suspicion> Suspects(model::duration aUsualWork,
+                                                model::instant aNow) const;
+  std::size_t Size() const { return mById.size(); }
+  /** Share of a list of services that have a leaf which answers. */
+  double Reachable(const std::vector<std::string>& aServices,
+                   model::instant aNow) const;
+
+private:
+  void Remove(const std::string& aId);
+
+  event_loop& mLoop;
+  const header_names& mNames;
+  leaf_observer& mObserver;
+  std::map<std::string, leaf_peer_ptr> mById;
+  std::unordered_map<std::string, leaf_list> mByService;
+  leaf_list mRetired; ///< Until their last attempt has ended.
+};
+
+} // namespace monsooncroft::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/peer_port.cpp
@@ -0,0 +1,237 @@
+/**
+ * @file peer_port.cpp
+ * The sockets between instances.
+ */
+#include "gateway/peer_port_base.h"
+
+#include "gateway/event_loop_base.h"
+#include "gateway/gateway_error.h"
+#include "gateway/loop_timer_base.h"
+#include "gateway/stream_handler_base.h"
+#include "gateway/tcp_stream_base.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <uv.h>
+
+#include <array>
+
+namespace monsooncroft::gateway {
+
+namespace {
+
+/** A peer that takes longer gives nothing; another one is asked. */
+constexpr std::chrono::milliseconds kPullTimeout{ 700 };
+constexpr int kBacklog = 256; ///< A whole fleet asks the first that knows.
+constexpr std::size_t kMostDatagramBytes = 65'536;
+
+} // namespace
+
+/** Common to both directions of a snapshot: ends after a time. */
+class snapshot_transfer : public stream_handler
+{
+public:
+  snapshot_transfer(event_loop& aLoop, std::function<void()> aOnTimeout)
+    : mTimer(aLoop, std::move(aOnTimeout))
+  {
+    mTimer.Start(kPullTimeout);
+  }
+  std::unique_ptr<tcp_stream> mStream;
+
+private:
+  loop_timer mTimer;
+};
+
+/** Reads a peer's snapshot until it closes. */
+class snapshot_pull : public snapshot_transfer
+{
+public:
+  snapshot_pull(peer_port& aPort, peer_port::pull_done aDone)
+    : snapshot_transfer(aPort.mLoop, [this] { Finish({}); })
+    , mPort(aPort)
+    , mDone(std::move(aDone))
+  {
+  }
+
+  void OnConnected(bool aSuccess) override
+  {
+    if (!aSuccess) {
+      Finish({});
+      return;
+    }
+    mStream->StartReading();
+  }
+  void OnBytes(std::string_view aBytes) override { mBytes.append(aBytes); }
+  void OnEnd(stream_end aEnd) override
+  {
+    Finish(aEnd == stream_end::Finished ? std::move(mBytes) : std::string());
+  }
+
+private:
+  void Finish(std::string aBytes)
+  {
+    if (!mDone) {
+      return;
+    }
+    const auto done = std::move(mDone);
+    mDone = nullptr;
+    mPort.mLoop.Defer([port = &mPort, this] { port->mTransfers.erase(this); });
+    done(std::move(aBytes));
+  }
+
+  peer_port& mPort;
+  peer_port::pull_done mDone;
+  std::string mBytes;
+};
+
+/** Gives the own snapshot and closes. */
+class snapshot_push : public snapshot_transfer
+{
+public:
+  explicit snapshot_push(peer_port& aPort)
+    : snapshot_transfer(aPort.mLoop, [this] { End(); })
+    , mPort(aPort)
+  {
+  }
+
+  void Begin()
+  {
+    mStream->StartReading();
+    mStream->Write(mPort.mSnapshot());
+    mStream->ShutDown();
+  }
+  void OnConnected(bool /*aSuccess*/) override {}
+  void OnBytes(std::string_view /*aBytes*/) override {}
+  void OnEnd(stream_end /*aEnd*/) override { End(); }
+
+private:
+  void End()
+  {
+    mPort.mLoop.Defer([port = &mPort, this] { port->mTransfers.erase(this); });
+  }
+
+  peer_port& mPort;
+};
+
+peer_port::peer_port(event_loop& aLoop,
+                     const model::endpoint& aAddress,
+                     datagram_handler aOnDatagram,
+                     snapshot_source aSnapshot)
+  : mLoop(aLoop)
+  , mOnDatagram(std::move(aOnDatagram))
+  , mSnapshot(std::move(aSnapshot))
+  , mSocket(new uv_udp_t())
+  , mListener(new uv_tcp_t())
+{
+  uv_udp_init(aLoop.Get(), mSocket);
+  mSocket->data = this;
+  sockaddr_in address{};
+  uv_ip4_addr(aAddress.mAddress.c_str(), aAddress.mPort, &address);
+  const int error =
+    uv_udp_bind(mSocket, reinterpret_cast<const sockaddr*>(&address), 0);
+  if (error != 0) {
+    throw gateway_error("cannot bind " + aAddress.ToString() + ": " +
+                        uv_strerror(error));
+  }
+  uv_udp_recv_start(
+    mSocket,
+    [](uv_handle_t* /*aHandle*/, std::size_t /*aSize*/, uv_buf_t* aBuffer) {
+      static std::array<char, kMostDatagramBytes> sBuffer;
+      aBuffer->base = sBuffer.data();
+      aBuffer->len = sBuffer.size();
+    },
+    [](uv_udp_t* aSocket,
+       ssize_t aCount,
+       const uv_buf_t* aBuffer,
+       const sockaddr* aFrom,
+       unsigned /*aFlags*/) {
+      if (aCount <= 0 || aFrom == nullptr || aSocket->data == nullptr) {
+        return;
+      }
+      const auto& from = *reinterpret_cast<const sockaddr_in*>(aFrom);
+      std::array<char, INET_ADDRSTRLEN> text{};
+      uv_ip4_name(&from, text.data(), text.size());
+      static_cast<peer_port*>(aSocket->data)
+        ->mOnDatagram({ aBuffer->base, static_cast<std::size_t>(aCount) },
+                      { text.data(), ntohs(from.sin_port) });
+    });
+  ListenForPulls(aAddress);
+}
+
+void
+peer_port::ListenForPulls(const model::endpoint& aAddress)
+{
+  uv_tcp_init(mLoop.Get(), mListener);
+  mListener->data = this;
+  sockaddr_in address{};
+  uv_ip4_addr(aAddress.mAddress.c_str(), aAddress.mPort, &address);
+  int error =
+    uv_tcp_bind(mListener, reinterpret_cast<const sockaddr*>(&address), 0);
+  if (error == 0) {
+    error = uv_listen(reinterpret_cast<uv_stream_t*>(mListener),
+                      kBacklog,
+                      [](uv_stream_t* aListener, int aStatus) {
+                        auto* self = static_cast<peer_port*>(aListener->data);
+                        if (self != nullptr && aStatus == 0) {
+                          self->Accept();
+                        }
+                      });
+  }
+  if (error != 0) {
+    throw gateway_error("cannot listen on " + aAddress.ToString() + ": " +
+                        uv_strerror(error));
+  }
+}
+
+peer_port::~peer_port()
+{
+  mSocket->data = nullptr;
+  mListener->data = nullptr;
+  uv_close(reinterpret_cast<uv_handle_t*>(mSocket), [](uv_handle_t* aHandle) {
+    delete reinterpret_cast<uv_udp_t*>(aHandle);
+  });
+  uv_close(reinterpret_cast<uv_handle_t*>(mListener), [](uv_handle_t* aHandle) {
+    delete reinterpret_cast<uv_tcp_t*>(aHandle);
+  });
+}
+
+void
+peer_port::Send(const model::endpoint& aTo, std::string_view aBytes)
+{
+  sockaddr_in address{};
+  if (uv_ip4_addr(aTo.mAddress.c_str(), aTo.mPort, &address) != 0) {
+    return;
+  }
+  std::string bytes(aBytes);
+  uv_buf_t buffer = uv_buf_init(bytes.data(), bytes.size());
+  uv_udp_try_send(
+    mSocket, &buffer, 1, reinterpret_cast<const sockaddr*>(&address));
+}
+
+void
+peer_port::Accept()
+{
+  auto stream =
+    tcp_stream::Accept(mLoop, reinterpret_cast<uv_stream_t*>(mListener));
+  if (!stream) {
+    return;
+  }
+  auto push = std::make_shared<snapshot_push>(*this);
+  stream->SetHandler(*push);
+  push->mStream = std::move(stream);
+  mTransfers.emplace(push.get(), push);
+  push->Begin();
+}
+
+void
+peer_port::Pull(const model::endpoint& aFrom, pull_done aDone)
+{
+  auto pull = std::make_shared<snapshot_pull>(*this, std::move(aDone));
+  mTransfers.emplace(pull.get(), pull);
+  pull->mStream = tcp_stream::Connect(mLoop, aFrom, *pull);
+  if (!pull->mStream) {
+    mLoop.Defer([pull] { pull->OnConnected(false); });
+  }
+}
+
+} // namespace monsooncroft::gateway
--- /dev/null
+++ b/src/gateway/peer_port_base.h
@@ -0,0 +1,70 @@
+/**
+ * @file peer_port_base.h
+ * The sockets between instances.
+ */
+#ifndef MONSOONCROFT_GATEWAY_PEER_PORT_BASE_H
+#define MONSOONCROFT_GATEWAY_PEER_PORT_BASE_H
+
+#include "model/endpoint_type.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+using uv_udp_t = struct uv_udp_s;
+using uv_tcp_t = struct uv_tcp_s;
+
+namespace monsooncroft::gateway {
+
+class event_loop;
+class snapshot_pull;
+class snapshot_push;
+
+/**
+ * Datagrams, and a TCP listener of the same port that gives this instance's
+ * snapshot to whoever connects and then closes.
+ */
+class peer_port
+{
+public:
+  using datagram_handler =
+    std::function<void(std::string_view, const model::endpoint&)>;
+  using snapshot_source = std::function<std::string()>;
+  /** Empty bytes: the peer gave nothing. */
+  using pull_done = std::function<void(std::string)>;
+
+  /** @throws gateway_error if the address cannot be bound. */
+  peer_port(event_loop& aLoop,
+            const model::endpoint& aAddress,
+            datagram_handler aOnDatagram,
+            snapshot_source aSnapshot);
+  ~peer_port();
+  peer_port(const peer_port&) = delete;
+  peer_port& operator=(const peer_port&) = delete;
+  peer_port(peer_port&&) = delete;
+  peer_port& operator=(peer_port&&) = delete;
+
+  /** A datagram that cannot be sent is dropped, as the network may. */
+  void Send(const model::endpoint& aTo, std::string_view aBytes);
+  void Pull(const model::endpoint& aFrom, pull_done aDone);
+
+private:
+  friend class snapshot_pull;
+  friend class snapshot_push;
+
+  void ListenForPulls(const model::endpoint& aAddress);
+  void Accept();
+
+  event_loop& mLoop;
+  datagram_handler mOnDatagram;
+  snapshot_source mSnapshot;
+  uv_udp_t* mSocket;
+  uv_tcp_t* mListener;
+  std::unordered_map<void*, std::shared_ptr<void>> mTransfers;
+};
+
+} // namespace monsooncroft::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/query_desk_base.h
@@ -0,0 +1,70 @@
+/**
+ * @file query_desk_base.h
+ * Takes callers' requests and starts their runs.
+ */
+#ifndef MONSOONCROFT_GATEWAY_QUERY_DESK_BASE_H
+#define MONSOONCROFT_GATEWAY_QUERY_DESK_BASE_H
+
+#include "gateway/exchange_base.h"
+#include "gateway/header_names_type.h"
+#include "gateway/query_settings_type.h"
+#include "serving/extra_budget_base.h"
+#include "serving/latency_type.h"
+#include "serving/routing_config_base.h"
+#include "serving/weighted_split_base.h"
+
+#include <unordered_map>
+
+namespace monsooncroft::ops {
+class log;
+class metrics;
+}
+
+namespace monsooncroft::gateway {
+
+class event_loop;
+class leaf_table;
+
+/** What every run of a request uses. */
+struct query_context
+{
+  event_loop& mLoop;
+  const header_names& mNames;
+  leaf_table& mLeaves;
+  serving::extra_budget& mBudget;
+  const query_settings& mSettings;
+  const ops::log& mLog;
+  ops::metrics& mMetrics;
+};
+
+/** Matches requests to routes and refuses what cannot be served. */
+class query_desk : public request_handler
+{
+public:
+  /** @param aOffset Of this instance, from 0 to 1, see weighted_split. */
+  query_desk(const query_context& aContext, double aOffset);
+
+  void SetConfig(serving::routing_config_ptr aConfig);
+  const serving::routing_config_ptr& Config() const { return mConfig; }
+  /** Whether an unknown path may be refused for good: no newer configuration
+   * can be in force that this instance does not know. */
+  void SetConfigCertain(bool aCertain) { mConfigCertain = aCertain; }
+  void OnRequest(const exchange_ptr& aExchange) override;
+
+private:
+  void Refuse(const exchange_ptr& aExchange,
+              int aStatus,
+              const char* aReason) const;
+  serving::route_latency& LatencyOf(const serving::route& aRoute);
+
+  query_context mContext;
+  serving::routing_config_ptr mConfig;
+  serving::weighted_split mSplit;
+  bool mConfigCertain = true;
+  std::unordered_map<std::string, std::shared_ptr<serving::route_latency>>
+    mLatencies; ///< By route.
+};
+
+} // namespace monsooncroft::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/request_head.cpp
@@ -0,0 +1,112 @@
+/**
+ * @file request_head.cpp
+ * What is passed on of requests and answers.
+ */
+#include "gateway/request_head_func.h"
+
+#include "gateway/header_names_type.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace monsooncroft::gateway {
+
+namespace {
+
+constexpr std::array<std::string_view, 11> kConnectionFields{
+  "Connection",        "Keep-Alive", "Proxy-Connection",
+  "Transfer-Encoding", "TE",         "Trailer",
+  "Upgrade",           "Expect",     "Content-Length",
+  "Proxy-Authenticate", "Proxy-Authorization"
+};
+
+/** Whether a Connection field lists the name. */
+bool
+Listed(std::string_view aList, std::string_view aName)
+{
+  while (!aList.empty()) {
+    const auto comma = std::min(aList.find(','), aList.size());
+    std::string_view item = aList.substr(0, comma);
+    while (!item.empty() && (item.front() == ' ' || item.front() == '\t')) {
+      item.remove_prefix(1);
+    }
+    while (!item.empty() && (item.back() == ' ' || item.back() == '\t')) {
+      item.remove_suffix(1);
+    }
+    if (SameName(item, aName)) {
+      return true;
+    }
+    aList.remove_prefix(std::min(comma + 1, aList.size()));
+  }
+  return false;
+}
+
+bool
+OnlyHere(const http_message& aMessage, const std::string& aName)
+{
+  if (std::any_of(kConnectionFields.begin(),
+                  kConnectionFields.end(),
+                  [&](std::string_view aOther) {
+                    return SameName(aOther, aName);
+                  })) {
+    return true;
+  }
+  const std::string* listed = aMessage.Find("Connection");
+  return listed != nullptr && Listed(*listed, aName);
+}
+
+} // namespace
+
+std::shared_ptr<const request_text>
+MakeRequestText(const http_message& aRequest,
+                const header_names& aNames,
+                const std::string& aRequestId)
+{
+  auto text = std::make_shared<request_text>();
+  text->mRequestId = aRequestId;
+  text->mBody = aRequest.mBody;
+  text->mNoBodyExpected = aRequest.mMethod == "HEAD";
+  std::string& head = text->mHead;
+  head.reserve(512);
+  head.append(aRequest.mMethod).append(" ").append(aRequest.mTarget);
+  head.append(" HTTP/1.1\r\n");
+  for (const http_field& field : aRequest.mFields) {
+    if (OnlyHere(aRequest, field.mName) ||
+        SameName(field.mName, aNames.mRemainingMs) ||
+        SameName(field.mName, aNames.mExpectedLeaf)) {
+      continue;
+    }
+    head.append(field.mName).append(": ").append(field.mValue).append("\r\n");
+  }
+  if (!aRequest.mBody.empty() || aRequest.mMethod == "POST" ||
+      aRequest.mMethod == "PUT" || aRequest.mMethod == "PATCH") {
+    head.append("Content-Length: ");
+    head.append(std::to_string(aRequest.mBody.size())).append("\r\n");
+  }
+  return text;
+}
+
+http_response
+ForwardedAnswer(const http_message& aAnswer)
+{
+  http_response response;
+  response.mStatus = aAnswer.mStatus;
+  response.mBody = aAnswer.mBody;
+  for (const http_field& field : aAnswer.mFields) {
+    if (!OnlyHere(aAnswer, field.mName)) {
+      response.mFields.push_back(field);
+    }
+  }
+  return response;
+}
+
+std::string
+SecondsText(std::chrono::milliseconds aTime)
+{
+  const std::string part = std::to_string(aTime.count() % 1000);
+  return std::to_string(aTime.count() / 1000) + "." +
+         std::string(3 - part.size(), '0') + part;
+}
+
+} // namespace monsooncroft::gateway
--- /dev/null
+++ b/src/gateway/request_head_func.h
@@ -0,0 +1,39 @@
+/**
+ * @file request_head_func.h
+ * What is passed on of requests and answers.
+ */
+#ifndef MONSOONCROFT_GATEWAY_REQUEST_HEAD_FUNC_H
+#define MONSOONCROFT_GATEWAY_REQUEST_HEAD_FUNC_H
+
+#include "gateway/http_response_type.h"
+#include "gateway/leaf_attempt_type.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace monsooncroft::gateway {
+
+struct header_names;
+
+/**
+ * The text of a caller's request for leaves: method, target, body and fields
+ * unchanged, but for those that concern one connection only, the framing, and
+ * those that are set for each attempt.
+ */
+std::shared_ptr<const request_text>
+MakeRequestText(const http_message& aRequest,
+                const header_names& aNames,
+                const std::string& aRequestId);
+
+/** A leaf's answer as it goes to the caller. */
+http_response
+ForwardedAnswer(const http_message& aAnswer);
+
+/** Seconds with a fraction, as in Retry-After. */
+std::string
+SecondsText(std::chrono::milliseconds aTime);
+
+} // namespace monsooncroft::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/stream_handler_base.h
@@ -0,0 +1,38 @@
+/**
+ * @file stream_handler_base.h
+ * Who hears of a connection.
+ */
+#ifndef MONSOONCROFT_GATEWAY_STREAM_HANDLER_BASE_H
+#define MONSOONCROFT_GATEWAY_STREAM_HANDLER_BASE_H
+
+#include <cstdint>
+#include <string_view>
+
+namespace monsooncroft::gateway {
+
+/** How a connection's incoming direction ended. */
+enum class stream_end : std::uint8_t
+{
+  Finished, ///< The other side ended it in order.
+  Broken,   ///< Reset, timed out, or a write failed.
+};
+
+/** Called on the loop's thread; may destroy the stream. */
+class stream_handler
+{
+public:
+  stream_handler() = default;
+  virtual ~stream_handler() = default;
+  stream_handler(const stream_handler&) = delete;
+  stream_handler& operator=(const stream_handler&) = delete;
+  stream_handler(stream_handler&&) = delete;
+  stream_handler& operator=(stream_handler&&) = delete;
+
+  virtual void OnConnected(bool aSuccess) = 0;
+  virtual void OnBytes(std::string_view aBytes) = 0;
+  virtual void OnEnd(stream_end aEnd) = 0;
+};
+
+} // namespace monsooncroft::gateway
+
+#endif
--- a/src/ops/log.cpp
+++ b/src/ops/log.cpp
@@ -49,14 +49,21 @@
 } // namespace
 
 log::log(std::string aInstance, log_level aLeast)
+  : log(std::move(aInstance),
+        aLeast,
+        std::make_shared<spdlog::sinks::stderr_sink_mt>())
+{
+  mLogger->flush_on(spdlog::level::info);
+}
+
+log::log(std::string aInstance,
+         log_level aLeast,
+         std::shared_ptr<spdlog::sinks::sink> aSink)
   : mInstance(std::move(aInstance))
-  , mLogger(std::make_shared<spdlog::logger>(
-      mInstance,
-      std::make_shared<spdlog::sinks::stderr_sink_mt>()))
+  , mLogger(std::make_shared<spdlog::logger>(mInstance, std::move(aSink)))
 {
   mLogger->set_pattern("%v");
   mLogger->set_level(ToSpdlog(aLeast));
-  mLogger->flush_on(spdlog::level::info);
 }
 
 void
--- a/src/ops/log_base.h
+++ b/src/ops/log_base.h
@@ -13,6 +13,9 @@
 
 namespace spdlog {
 class logger;
+namespace sinks {
+class sink;
+}
 }
 
 namespace monsooncroft::ops {
@@ -33,7 +36,7 @@
   std::variant<std::string, long, double> mValue; ///< Its value.
 };
 
-/** Writes lines to standard error. Thread safe. */
+/** Writes lines, to standard error if not told otherwise. Thread safe. */
 class log
 {
 public:
@@ -43,6 +46,11 @@
    */
   log(std::string aInstance, log_level aLeast);
 
+  /** Writes to another sink, such as bounded_sink. */
+  log(std::string aInstance,
+      log_level aLeast,
+      std::shared_ptr<spdlog::sinks::sink> aSink);
+
   /**
    * Writes a line.
    * @param aLevel Its level.
--- a/src/link/connection_share.cpp
+++ b/src/policy/connection_share.cpp
@@ -2,11 +2,11 @@
  * @file connection_share.cpp
  * Splitting a leaf's connection limit.
  */
-#include "link/connection_share_func.h"
+#include "policy/connection_share_func.h"
 
 #include <algorithm>
 
-namespace monsooncroft::link {
+namespace monsooncroft::policy {
 
 connection_share
 ShareOf(int aLimit, int aOwners)
@@ -34,4 +34,4 @@
   return std::min(aOwners, reserve / share.mNewcomer);
 }
 
-} // namespace monsooncroft::link
+} // namespace monsooncroft::policy
--- a/src/link/connection_share_func.h
+++ b/src/policy/connection_share_func.h
@@ -2,10 +2,10 @@
  * @file connection_share_func.h
  * One instance's share of a leaf's connection limit.
  */
-#ifndef MONSOONCROFT_LINK_CONNECTION_SHARE_FUNC_H
-#define MONSOONCROFT_LINK_CONNECTION_SHARE_FUNC_H
+#ifndef MONSOONCROFT_POLICY_CONNECTION_SHARE_FUNC_H
+#define MONSOONCROFT_POLICY_CONNECTION_SHARE_FUNC_H
 
-namespace monsooncroft::link {
+namespace monsooncroft::policy {
 
 /** Connections that one owner may hold to one leaf. */
 struct connection_share
@@ -31,6 +31,6 @@
 int
 ReplaceableOwners(int aLimit, int aOwners);
 
-} // namespace monsooncroft::link
+} // namespace monsooncroft::policy
 
 #endif
--- /dev/null
+++ b/src/serving/answer_rule.cpp
@@ -0,0 +1,38 @@
+/**
+ * @file answer_rule.cpp
+ * When a request gets its final answer.
+ */
+#include "serving/answer_rule_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsooncroft::serving {
+
+std::size_t
+LeastShards(std::size_t aTotal, double aLeastShare)
+{
+  // The tolerance keeps 0.75 x 20 at 15 in binary fractions.
+  const double least =
+    std::ceil(static_cast<double>(aTotal) * aLeastShare - 1e-9);
+  return std::clamp<std::size_t>(
+    least < 1 ? 1 : static_cast<std::size_t>(least), 1, std::max<std::size_t>(1, aTotal));
+}
+
+answer_decision
+DecideAnswer(const answer_terms& aTerms,
+             const answer_progress& aProgress,
+             model::instant aNow)
+{
+  const bool enough = aProgress.mAnswered >= aTerms.mLeast;
+  if (aProgress.mOpen == 0 || aNow >= aTerms.mDeadline) {
+    return enough ? answer_decision::Answer : answer_decision::GiveUp;
+  }
+  if (aProgress.mAnswered + aProgress.mOpen < aTerms.mLeast) {
+    return answer_decision::GiveUp;
+  }
+  return enough && aNow >= aTerms.mAnswerBy ? answer_decision::Answer
+                                            : answer_decision::Wait;
+}
+
+} // namespace monsooncroft::serving
--- /dev/null
+++ b/src/serving/answer_rule_func.h
@@ -0,0 +1,58 @@
+/**
+ * @file answer_rule_func.h
+ * When a request gets its final answer.
+ */
+#ifndef MONSOONCROFT_SERVING_ANSWER_RULE_FUNC_H
+#define MONSOONCROFT_SERVING_ANSWER_RULE_FUNC_H
+
+#include "model/time_type.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace monsooncroft::serving {
+
+/** What a request's answer needs. */
+struct answer_terms
+{
+  std::size_t mTotal = 1;   ///< Shards; 1 for a request to one leaf.
+  std::size_t mLeast = 1;   ///< Shards that an answer needs.
+  model::instant mAnswerBy; ///< From then on the least is enough.
+  model::instant mDeadline; ///< Nobody waits any longer.
+
+  bool operator==(const answer_terms&) const = default;
+};
+
+/** How far a request has come. */
+struct answer_progress
+{
+  std::size_t mAnswered = 0; ///< Shards with a good answer.
+  std::size_t mOpen = 0;     ///< Shards that may still answer.
+
+  bool operator==(const answer_progress&) const = default;
+};
+
+/** What to do now. */
+enum class answer_decision : std::uint8_t
+{
+  Wait,   ///< More may come in time.
+  Answer, ///< Enough is there.
+  GiveUp, ///< The least cannot be reached, or the time is over.
+};
+
+/** The least number of shards for a share of them, by protocol. */
+std::size_t
+LeastShards(std::size_t aTotal, double aLeastShare);
+
+/**
+ * Answers the load of a fan-out with stragglers: complete as long as that is
+ * in time, then the least share, and a failure at once when even that is lost.
+ */
+answer_decision
+DecideAnswer(const answer_terms& aTerms,
+             const answer_progress& aProgress,
+             model::instant aNow);
+
+} // namespace monsooncroft::serving
+
+#endif
--- /dev/null
+++ b/src/serving/fleet_codec.cpp
@@ -0,0 +1,212 @@
+/**
+ * @file fleet_codec.cpp
+ * Messages between instances as MessagePack.
+ */
+#include "serving/fleet_codec_func.h"
+
+#include <nlohmann/json.hpp>
+
+namespace monsooncroft::serving {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int kFormat = 1; ///< First element of each message.
+
+json
+ToArray(const fleet_member& aMember)
+{
+  return json::array({ aMember.mName,
+                       aMember.mDataCentre,
+                       aMember.mPeer.mAddress,
+                       aMember.mPeer.mPort,
+                       aMember.mIncarnation,
+                       aMember.mBeat,
+                       aMember.mConfigVersion,
+                       (aMember.mReachesStore ? 1 : 0) |
+                         (aMember.mLeaving ? 2 : 0) });
+}
+
+fleet_member
+ToMember(const json& aArray)
+{
+  fleet_member member;
+  member.mName = aArray.at(0).get<std::string>();
+  member.mDataCentre = aArray.at(1).get<std::string>();
+  member.mPeer.mAddress = aArray.at(2).get<std::string>();
+  member.mPeer.mPort = aArray.at(3).get<std::uint16_t>();
+  member.mIncarnation = aArray.at(4).get<std::uint64_t>();
+  member.mBeat = aArray.at(5).get<std::uint64_t>();
+  member.mConfigVersion = aArray.at(6).get<std::uint64_t>();
+  const int flags = aArray.at(7).get<int>();
+  member.mReachesStore = (flags & 1) != 0;
+  member.mLeaving = (flags & 2) != 0;
+  return member;
+}
+
+json
+ToArray(const leaf_entry& aEntry)
+{
+  return json::array({ aEntry.mId,
+                       aEntry.mService,
+                       aEntry.mAddress.mAddress,
+                       aEntry.mAddress.mPort,
+                       aEntry.mDataCentre,
+                       aEntry.mSlots,
+                       aEntry.mDraining,
+                       aEntry.mBorn,
+                       aEntry.mColdMs,
+                       aEntry.mRevision });
+}
+
+leaf_entry
+ToEntry(const json& aArray)
+{
+  leaf_entry entry;
+  entry.mId = aArray.at(0).get<std::string>();
+  entry.mService = aArray.at(1).get<std::string>();
+  entry.mAddress.mAddress = aArray.at(2).get<std::string>();
+  entry.mAddress.mPort = aArray.at(3).get<std::uint16_t>();
+  entry.mDataCentre = aArray.at(4).get<std::string>();
+  entry.mSlots = aArray.at(5).get<int>();
+  entry.mDraining = aArray.at(6).get<bool>();
+  entry.mBorn = aArray.at(7).get<std::uint64_t>();
+  entry.mColdMs = aArray.at(8).get<std::int64_t>();
+  entry.mRevision = aArray.at(9).get<std::uint64_t>();
+  return entry;
+}
+
+json
+ToArray(const leaf_suspicion& aSuspicion)
+{
+  return json::array({ aSuspicion.mLeaf, aSuspicion.mForMs });
+}
+
+json
+ToArray(const directory_delta& aDelta);
+
+template<class T>
+json
+ToArrays(const std::vector<T>& aItems)
+{
+  json out = json::array();
+  for (const T& item : aItems) {
+    out.push_back(ToArray(item));
+  }
+  return out;
+}
+
+json
+ToArray(const directory_delta& aDelta)
+{
+  return json::array({ aDelta.mSince,
+                       aDelta.mRevision,
+                       ToArrays(aDelta.mChanged),
+                       aDelta.mRemoved });
+}
+
+directory_delta
+ToDelta(const json& aArray)
+{
+  directory_delta delta;
+  delta.mSince = aArray.at(0).get<std::uint64_t>();
+  delta.mRevision = aArray.at(1).get<std::uint64_t>();
+  for (const json& entry : aArray.at(2)) {
+    delta.mChanged.push_back(ToEntry(entry));
+  }
+  delta.mRemoved = aArray.at(3).get<std::vector<std::string>>();
+  return delta;
+}
+
+std::string
+Pack(const json& aValue)
+{
+  std::string bytes;
+  json::to_msgpack(aValue, nlohmann::detail::output_adapter<char>(bytes));
+  return bytes;
+}
+
+/** Nothing if the bytes are not of this format; the caller logs it. */
+std::optional<json>
+Unpack(std::string_view aBytes)
+{
+  json value = json::from_msgpack(aBytes, true, false);
+  if (!value.is_array() || value.empty() || value[0] != kFormat) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+} // namespace
+
+std::string
+EncodeMessage(const fleet_message& aMessage)
+{
+  return Pack(json::array({ kFormat,
+                            ToArrays(aMessage.mMembers),
+                            aMessage.mWantsReply,
+                            ToArrays(aMessage.mSuspects),
+                            ToArrays(aMessage.mDeltas) }));
+}
+
+std::optional<fleet_message>
+DecodeMessage(std::string_view aBytes)
+{
+  const auto value = Unpack(aBytes);
+  if (!value) {
+    return std::nullopt;
+  }
+  try {
+    fleet_message message;
+    for (const json& member : value->at(1)) {
+      message.mMembers.push_back(ToMember(member));
+    }
+    message.mWantsReply = value->at(2).get<bool>();
+    for (const json& suspect : value->at(3)) {
+      message.mSuspects.push_back(
+        { suspect.at(0).get<std::string>(), suspect.at(1).get<std::uint32_t>() });
+    }
+    for (const json& delta : value->at(4)) {
+      message.mDeltas.push_back(ToDelta(delta));
+    }
+    return message;
+  } catch (const json::exception&) {
+    return std::nullopt; // The caller logs it with the sender.
+  }
+}
+
+std::string
+EncodeSnapshot(const fleet_snapshot& aSnapshot)
+{
+  return Pack(json::array({ kFormat,
+                            aSnapshot.mConfigVersion,
+                            aSnapshot.mConfigRevision,
+                            aSnapshot.mConfigText,
+                            aSnapshot.mDirectory.mRevision,
+                            ToArrays(aSnapshot.mDirectory.mEntries) }));
+}
+
+std::optional<fleet_snapshot>
+DecodeSnapshot(std::string_view aBytes)
+{
+  const auto value = Unpack(aBytes);
+  if (!value) {
+    return std::nullopt;
+  }
+  try {
+    fleet_snapshot snapshot;
+    snapshot.mConfigVersion = value->at(1).get<std::uint64_t>();
+    snapshot.mConfigRevision = value->at(2).get<std::uint64_t>();
+    snapshot.mConfigText = value->at(3).get<std::string>();
+    snapshot.mDirectory.mRevision = value->at(4).get<std::uint64_t>();
+    for (const json& entry : value->at(5)) {
+      snapshot.mDirectory.mEntries.push_back(ToEntry(entry));
+    }
+    return snapshot;
+  } catch (const json::exception&) {
+    return std::nullopt; // The caller logs it with the sender.
+  }
+}
+
+} // namespace monsooncroft::serving
--- /dev/null
+++ b/src/serving/fleet_view.cpp
@@ -0,0 +1,178 @@
+/**
+ * @file fleet_view.cpp
+ * Membership by exchanged beat counters.
+ */
+#include "serving/fleet_view_base.h"
+
+#include "cluster/rendezvous_func.h"
+
+#include <algorithm>
+
+namespace monsooncroft::serving {
+
+fleet_view::fleet_view(fleet_member aSelf,
+                       std::vector<model::endpoint> aSeeds,
+                       const fleet_terms& aTerms,
+                       std::uint64_t aSeed)
+  : mSelf(std::move(aSelf))
+  , mTerms(aTerms)
+  , mRandom(aSeed)
+{
+  SetSeeds(std::move(aSeeds));
+}
+
+void
+fleet_view::SetSeeds(std::vector<model::endpoint> aSeeds)
+{
+  mSeeds = std::move(aSeeds);
+  std::erase(mSeeds, mSelf.mPeer);
+}
+
+std::vector<model::endpoint>
+fleet_view::OnRound(model::instant aNow)
+{
+  ++mSelf.mBeat;
+  std::erase_if(mKnown, [&](const auto& aEntry) {
+    return aNow - aEntry.second.mHeard > mTerms.mCountedFor;
+  });
+  std::vector<model::endpoint> targets;
+  for (const fleet_member& member : Live(aNow)) {
+    targets.push_back(member.mPeer);
+  }
+  std::shuffle(targets.begin(), targets.end(), mRandom);
+  const bool alone = targets.empty();
+  targets.resize(std::min(targets.size(), mTerms.mFanout));
+  if (!mSeeds.empty()) {
+    // All seeds while nobody is known, one otherwise: two halves of a fleet
+    // that lost each other meet again there.
+    if (alone) {
+      targets = mSeeds;
+    } else if (mSelf.mBeat % 4 == 0) {
+      targets.push_back(mSeeds[mRandom() % mSeeds.size()]);
+    }
+  }
+  if (mSelf.mBeat % 4 == 2 && !mKnown.empty()) {
+    auto place = mKnown.begin();
+    std::advance(place, static_cast<std::ptrdiff_t>(mRandom() % mKnown.size()));
+    targets.push_back(place->second.mMember.mPeer);
+  }
+  return targets;
+}
+
+void
+fleet_view::OnMessage(const fleet_message& aMessage, model::instant aNow)
+{
+  for (const fleet_member& member : aMessage.mMembers) {
+    if (member.mName == mSelf.mName) {
+      continue;
+    }
+    const auto [place, fresh] =
+      mKnown.try_emplace(member.mName, known_member{ member, aNow });
+    if (!fresh && member.NewerThan(place->second.mMember)) {
+      place->second = { member, aNow };
+    }
+  }
+}
+
+std::vector<fleet_member>
+fleet_view::Told()
+{
+  std::vector<const known_member*> freshest;
+  freshest.reserve(mKnown.size());
+  for (const auto& [name, known] : mKnown) {
+    freshest.push_back(&known);
+  }
+  const auto count =
+    std::min(freshest.size(), mTerms.mMembersPerMessage - 1);
+  std::partial_sort(freshest.begin(),
+                    freshest.begin() + static_cast<std::ptrdiff_t>(count),
+                    freshest.end(),
+                    [](const known_member* aLeft, const known_member* aRight) {
+                      return aLeft->mHeard > aRight->mHeard;
+                    });
+  std::vector<fleet_member> told{ mSelf };
+  for (std::size_t place = 0; place < count; ++place) {
+    told.push_back(freshest[place]->mMember);
+  }
+  return told;
+}
+
+void
+fleet_view::SetConfigVersion(std::uint64_t aVersion)
+{
+  mSelf.mConfigVersion = std::max(mSelf.mConfigVersion, aVersion);
+  ++mSelf.mBeat; // News, to replace what was told before.
+}
+
+std::vector<fleet_member>
+fleet_view::Live(model::instant aNow) const
+{
+  std::vector<fleet_member> live;
+  for (const auto& [name, known] : mKnown) {
+    if (aNow - known.mHeard <= mTerms.mSilentAfter) {
+      live.push_back(known.mMember);
+    }
+  }
+  return live;
+}
+
+std::size_t
+fleet_view::CountedInstances(model::instant aNow) const
+{
+  std::size_t count = 1;
+  for (const auto& [name, known] : mKnown) {
+    count += aNow - known.mHeard <= mTerms.mCountedFor ? 1 : 0;
+  }
+  return count;
+}
+
+std::size_t
+fleet_view::Rank(const std::string& aSalt,
+                 bool aOwnDataCentre,
+                 model::instant aNow) const
+{
+  const std::uint64_t salt = cluster::HashOf(aSalt);
+  const auto weight = [salt](const fleet_member& aMember) {
+    return cluster::RendezvousWeight(salt, cluster::HashOf(aMember.mName));
+  };
+  const std::uint64_t own = weight(mSelf);
+  std::size_t rank = 0;
+  for (const fleet_member& member : Live(aNow)) {
+    const bool counts =
+      member.mReachesStore && !member.mLeaving &&
+      (!aOwnDataCentre || member.mDataCentre == mSelf.mDataCentre);
+    rank += counts && weight(member) > own ? 1 : 0;
+  }
+  return rank;
+}
+
+std::optional<fleet_member>
+fleet_view::NewerConfig(model::instant aNow) const
+{
+  std::optional<fleet_member> best;
+  const auto better = [&](const fleet_member& aMember) {
+    if (!best || aMember.mConfigVersion != best->mConfigVersion) {
+      return !best || aMember.mConfigVersion > best->mConfigVersion;
+    }
+    return aMember.mDataCentre == mSelf.mDataCentre &&
+           best->mDataCentre != mSelf.mDataCentre;
+  };
+  for (const fleet_member& member : Live(aNow)) {
+    if (member.mConfigVersion > mSelf.mConfigVersion && better(member)) {
+      best = member;
+    }
+  }
+  return best;
+}
+
+bool
+fleet_view::Hears(const std::string& aDataCentre, model::instant aNow) const
+{
+  return std::any_of(
+    mKnown.begin(), mKnown.end(), [&](const auto& aEntry) {
+      return aEntry.second.mMember.mDataCentre == aDataCentre &&
+             aNow - aEntry.second.mHeard <= mTerms.mSilentAfter;
+    });
+}
+
+} // namespace monsooncroft::serving
--- /dev/null
+++ b/src/serving/fleet_view_base.h
@@ -0,0 +1,95 @@
+/**
+ * @file fleet_view_base.h
+ * Who else is there.
+ */
+#ifndef MONSOONCROFT_SERVING_FLEET_VIEW_BASE_H
+#define MONSOONCROFT_SERVING_FLEET_VIEW_BASE_H
+
+#include "model/time_type.h"
+#include "serving/fleet_type.h"
+
+#include <map>
+#include <optional>
+#include <random>
+
+namespace monsooncroft::serving {
+
+/** Periods of the exchange between instances. */
+struct fleet_terms
+{
+  std::chrono::milliseconds mPeriod{ 250 }; ///< Between two rounds.
+  std::size_t mFanout = 3;                  ///< Members told in each round.
+  std::size_t mMembersPerMessage = 16;      ///< So that it fits a datagram.
+  std::chrono::milliseconds mSilentAfter{ 1'500 }; ///< Then it counts as gone.
+  std::chrono::milliseconds mCountedFor{ 15'000 }; ///< It may still hold
+                                                   ///< connections and budget.
+};
+
+/**
+ * Membership by exchanged beat counters: each instance raises its own, each
+ * round passes on the freshest ones, and who was not heard of for some time is
+ * taken as gone. Answers the load of instances that restart, freeze or are cut
+ * off in dozens at a time: no central list, and the cost of a round does not
+ * grow with the fleet.
+ */
+class fleet_view
+{
+public:
+  /**
+   * @param aSelf This instance.
+   * @param aSeeds Peer addresses that may be alive.
+   * @param aSeed Of random choices.
+   */
+  fleet_view(fleet_member aSelf,
+             std::vector<model::endpoint> aSeeds,
+             const fleet_terms& aTerms,
+             std::uint64_t aSeed);
+
+  /** Raises the own beat. @return To whom this round's message goes. */
+  std::vector<model::endpoint> OnRound(model::instant aNow);
+  void OnMessage(const fleet_message& aMessage, model::instant aNow);
+  /** The members that a message tells of, this one first. */
+  std::vector<fleet_member> Told();
+
+  void SetConfigVersion(std::uint64_t aVersion);
+  void SetReachesStore(bool aReaches) { mSelf.mReachesStore = aReaches; }
+  void SetSeeds(std::vector<model::endpoint> aSeeds);
+  void SetLeaving() { mSelf.mLeaving = true; }
+
+  const fleet_member& Self() const { return mSelf; }
+  /** Members heard of lately, without this one. */
+  std::vector<fleet_member> Live(model::instant aNow) const;
+  /** This one and all that may still hold connections or spend budget. */
+  std::size_t CountedInstances(model::instant aNow) const;
+  /**
+   * Place of this instance among those that reach the store; the first ones
+   * call it for all.
+   * @param aSalt Different for each duty.
+   * @param aOwnDataCentre Only members of the own data centre count.
+   */
+  std::size_t Rank(const std::string& aSalt,
+                   bool aOwnDataCentre,
+                   model::instant aNow) const;
+  /** A live member with a newer configuration, own data centre first. */
+  std::optional<fleet_member> NewerConfig(model::instant aNow) const;
+  /** Whether anyone of the data centre was heard of lately. */
+  bool Hears(const std::string& aDataCentre, model::instant aNow) const;
+
+private:
+  struct known_member
+  {
+    fleet_member mMember;
+    model::instant mHeard;
+  };
+
+  fleet_member mSelf;
+  std::vector<model::endpoint> mSeeds;
+  fleet_terms mTerms;
+  std::mt19937_64 mRandom;
+  std::map<std::string, known_member> mKnown; ///< By name, without this one.
+  std::size_t mNextTold = 0;
+};
+
+} // namespace monsooncroft::serving
+
+#endif
--- /dev/null
+++ b/src/serving/leaf_load.cpp
@@ -0,0 +1,189 @@
+/**
+ * @file leaf_load.cpp
+ * Speed and signs of life of a leaf.
+ */
+#include "serving/leaf_load_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace monsooncroft::serving {
+
+namespace {
+
+/** One answer counts at most so much: pauses are no property of the speed. */
+constexpr double kMostSlowness = 6;
+constexpr double kLeastSlowness = 0.2;
+constexpr double kSampleWeight = 0.25; ///< Of one answer in the slowness.
+/** An observed slowness is half forgotten after such a time without answers,
+ * so that a leaf that has recovered is tried again. */
+constexpr double kForgetSeconds = 1.5;
+/** A cold leaf takes so many times as long; its registration tells how long. */
+constexpr double kColdFactor = 1.6;
+/** An answer is overdue after so many times the expected latency. */
+constexpr int kOverdueFactor = 4;
+constexpr std::chrono::milliseconds kLeastOverdue{ 25 }; ///< Above scheduling
+                                                         ///< delays.
+constexpr model::duration kLeastRoundTrip{ 100 }; ///< Within a data centre.
+/** Longer than a leaf's usual pauses: it does not answer at all. */
+constexpr std::chrono::milliseconds kLongOverdue{ 500 };
+/** Pauses between tries of a leaf that refuses, doubled each time. */
+constexpr std::chrono::milliseconds kFirstRefusal{ 150 };
+constexpr std::chrono::milliseconds kLongestRefusal{ 1'000 };
+/** What a suspect leaf is taken to need besides: used only if all are. */
+constexpr std::chrono::milliseconds kSuspectPenalty{ 300 };
+
+} // namespace
+
+void
+leaf_load::OnSent(model::instant aNow)
+{
+  mOutstanding.push_back(aNow);
+}
+
+void
+leaf_load::OnDropped(model::instant aQueued)
+{
+  const auto found =
+    std::find(mOutstanding.begin(), mOutstanding.end(), aQueued);
+  if (found != mOutstanding.end()) {
+    mOutstanding.erase(found);
+  }
+}
+
+void
+leaf_load::OnAnswer(model::instant aQueued,
+                    std::optional<model::duration> aWork,
+                    model::duration aUsualWork,
+                    model::instant aNow)
+{
+  OnDropped(aQueued);
+  mLastAnswer = aNow;
+  mRefusals = 0;
+  mRefusesUntil = model::instant();
+  mPeerSuspectUntil = model::instant();
+  if (!aWork) {
+    return;
+  }
+  const double sample =
+    std::clamp(static_cast<double>(aWork->count()) /
+                 static_cast<double>(
+                   std::max<model::duration::rep>(1, aUsualWork.count())),
+               kLeastSlowness,
+               kMostSlowness);
+  const double known = Slowness(aNow);
+  mSlowness = known + kSampleWeight * (sample - known);
+  mSlownessAt = aNow;
+}
+
+void
+leaf_load::OnRefused(model::instant aNow)
+{
+  const auto pause = std::min<model::duration>(
+    kFirstRefusal * (1 << std::min(mRefusals, 4)), kLongestRefusal);
+  ++mRefusals;
+  mConnected = false;
+  mRefusesUntil = aNow + pause;
+}
+
+void
+leaf_load::OnConnected(model::duration aRoundTrip, model::instant /*aNow*/)
+{
+  mConnected = true;
+  // A connection that waited for a free slot tells no way; the shortest does.
+  const auto known = mRoundTrip.count() == 0 ? aRoundTrip : mRoundTrip;
+  mRoundTrip = std::max(std::min(known, aRoundTrip), kLeastRoundTrip);
+  mRefusals = 0;
+  mRefusesUntil = model::instant();
+}
+
+void
+leaf_load::OnPeerSuspicion(model::instant aUntil)
+{
+  mPeerSuspectUntil = std::max(mPeerSuspectUntil, aUntil);
+}
+
+double
+leaf_load::Slowness(model::instant aNow) const
+{
+  const double age =
+    std::chrono::duration<double>(aNow - mSlownessAt).count();
+  const double kept = std::exp2(-std::max(0.0, age) / kForgetSeconds);
+  return 1 + (mSlowness - 1) * kept;
+}
+
+bool
+leaf_load::Suspect(model::duration aUsualWork, model::instant aNow) const
+{
+  return aNow < mPeerSuspectUntil || SeenStandingStill(aUsualWork, aNow);
+}
+
+bool
+leaf_load::Answers(model::instant aNow) const
+{
+  return mConnected && !SeenStandingStill(kLongOverdue / kOverdueFactor, aNow);
+}
+
+bool
+leaf_load::SeenStandingStill(model::duration aUsualWork,
+                             model::instant aNow) const
+{
+  if (Refuses(aNow)) {
+    return true;
+  }
+  if (mOutstanding.empty()) {
+    return false;
+  }
+  const model::instant oldest = mOutstanding.front();
+  if (mLastAnswer && *mLastAnswer > oldest) {
+    return false;
+  }
+  const auto expected =
+    mRoundTrip +
+    model::duration(static_cast<model::duration::rep>(
+      static_cast<double>(aUsualWork.count()) * Slowness(aNow)));
+  return aNow - oldest >
+         std::max<model::duration>(kOverdueFactor * expected, kLeastOverdue);
+}
+
+model::duration
+leaf_load::ExpectedLatency(model::duration aUsualWork,
+                           model::instant aNow) const
+{
+  double work = static_cast<double>(aUsualWork.count()) * Slowness(aNow);
+  if (aNow < mColdUntil) {
+    work *= kColdFactor;
+  }
+  work *= 1 + static_cast<double>(mOutstanding.size());
+  auto expected =
+    mRoundTrip + model::duration(static_cast<model::duration::rep>(work));
+  if (Suspect(aUsualWork, aNow)) {
+    expected += kSuspectPenalty;
+  }
+  return expected;
+}
+
+std::optional<std::size_t>
+ChooseReplica(const std::vector<const leaf_load*>& aCandidates,
+              model::duration aUsualWork,
+              std::size_t aTie,
+              model::instant aNow)
+{
+  std::optional<std::size_t> best;
+  model::duration least{ 0 };
+  for (std::size_t step = 0; step < aCandidates.size(); ++step) {
+    const std::size_t place = (aTie + step) % aCandidates.size();
+    const leaf_load* candidate = aCandidates[place];
+    if (candidate == nullptr) {
+      continue;
+    }
+    const auto expected = candidate->ExpectedLatency(aUsualWork, aNow);
+    if (!best || expected < least) {
+      best = place;
+      least = expected;
+    }
+  }
+  return best;
+}
+
+} // namespace monsooncroft::serving
--- /dev/null
+++ b/src/serving/leaf_load_base.h
@@ -0,0 +1,91 @@
+/**
+ * @file leaf_load_base.h
+ * What this instance has seen of one leaf, and which replica to use.
+ */
+#ifndef MONSOONCROFT_SERVING_LEAF_LOAD_BASE_H
+#define MONSOONCROFT_SERVING_LEAF_LOAD_BASE_H
+
+#include "model/time_type.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace monsooncroft::serving {
+
+/**
+ * Speed, outstanding attempts and signs of life of one leaf. Answers the load
+ * of replicas of different speed that also pause, slow down for seconds, or
+ * fall silent: work goes where it is expected to end first, a leaf that stands
+ * still is passed over from its first overdue answer on, and a slow one is
+ * tried again after some time, since its slowness may have ended unseen.
+ */
+class leaf_load
+{
+public:
+  void OnSent(model::instant aNow);
+  /**
+   * @param aQueued When the attempt was handed to the leaf, as in OnSent.
+   * @param aWork Time at the leaf without the way; nothing if the answer tells
+   * no speed.
+   * @param aUsualWork The route's mean.
+   */
+  void OnAnswer(model::instant aQueued,
+                std::optional<model::duration> aWork,
+                model::duration aUsualWork,
+                model::instant aNow);
+  void OnDropped(model::instant aQueued); ///< It ended without an answer.
+  void OnRefused(model::instant aNow);  ///< No connection could be made, or
+                                        ///< all of them were reset.
+  void OnConnected(model::duration aRoundTrip, model::instant aNow);
+  /** A peer has seen the leaf stand still or refuse, until about then. */
+  void OnPeerSuspicion(model::instant aUntil);
+  void SetColdUntil(model::instant aUntil) { mColdUntil = aUntil; }
+
+  std::size_t Outstanding() const { return mOutstanding.size(); }
+  model::duration RoundTrip() const { return mRoundTrip; }
+  /** Overdue answer, refused connections or a peer's word. */
+  bool Suspect(model::duration aUsualWork, model::instant aNow) const;
+  /** The own part of Suspect: an overdue answer or refused connections. */
+  bool SeenStandingStill(model::duration aUsualWork,
+                         model::instant aNow) const;
+  /** A connection stands, and no answer is long overdue. */
+  bool Answers(model::instant aNow) const;
+  /** It refused connections a moment ago. */
+  bool Refuses(model::instant aNow) const { return aNow < mRefusesUntil; }
+  model::instant RefusesUntil() const { return mRefusesUntil; }
+  /** Its work times, relative to the usual. */
+  double Slowness(model::instant aNow) const;
+  /** Expected time from sending to the answer. */
+  model::duration ExpectedLatency(model::duration aUsualWork,
+                                  model::instant aNow) const;
+
+private:
+  std::vector<model::instant> mOutstanding; ///< Oldest first.
+  model::duration mRoundTrip{ 0 }; ///< 0: not measured.
+  double mSlowness = 1;
+  model::instant mSlownessAt;
+  std::optional<model::instant> mLastAnswer;
+  model::instant mColdUntil;
+  model::instant mRefusesUntil;
+  model::instant mPeerSuspectUntil;
+  int mRefusals = 0; ///< In a row.
+  bool mConnected = false; ///< Once, and not refused since.
+};
+
+/**
+ * The replica where an attempt is expected to end first.
+ * @param aCandidates Replicas that may be used; null entries are passed over.
+ * @param aUsualWork The route's mean.
+ * @param aTie Breaks ties, different for each instance and request.
+ * @return Its place; nothing if there is none.
+ */
+std::optional<std::size_t>
+ChooseReplica(const std::vector<const leaf_load*>& aCandidates,
+              model::duration aUsualWork,
+              std::size_t aTie,
+              model::instant aNow);
+
+} // namespace monsooncroft::serving
+
+#endif
--- /dev/null
+++ b/src/serving/route_type.h
@@ -0,0 +1,73 @@
+/**
+ * @file route_type.h
+ * A route: which requests it takes, and how they may be served.
+ */
+#ifndef MONSOONCROFT_SERVING_ROUTE_TYPE_H
+#define MONSOONCROFT_SERVING_ROUTE_TYPE_H
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace monsooncroft::serving {
+
+/** Whether a request may run more than once. */
+enum class repeatability : std::uint8_t
+{
+  Idempotent, ///< May run again, within the retry budget.
+  RunOnce,    ///< Sent again only after a proof that it did not run.
+};
+
+/** A service that takes a share of a route's requests. */
+struct weighted_service
+{
+  std::string mService;
+  double mWeight = 1;
+
+  bool operator==(const weighted_service&) const = default;
+};
+
+/** One entry of the routing configuration. */
+struct route
+{
+  std::string mName;
+  std::string mHost;   ///< Lower case, without a port.
+  std::string mPrefix; ///< Begins and ends with a slash.
+  repeatability mRepeatability = repeatability::RunOnce;
+  std::chrono::milliseconds mTimeout{ 0 };       ///< Longest wait of a caller.
+  std::chrono::milliseconds mTargetLatency{ 0 }; ///< Full worth until then.
+  int mRank = 0;        ///< 0 is served first.
+  int mMaxAttempts = 1; ///< Leaves that one request (of each shard) may reach.
+  std::vector<weighted_service> mTargets; ///< Empty for a fan-out.
+  std::vector<std::string> mShards;       ///< Services of a fan-out.
+  std::size_t mTopRecords = 0;  ///< Records of a merged answer.
+  double mLeastShare = 1;       ///< Of the shards that an answer needs.
+
+  bool IsFanOut() const { return !mShards.empty(); }
+  bool operator==(const route&) const = default;
+};
+
+/** What the configuration says of a service. */
+struct service_limits
+{
+  int mMaxConnections = 1; ///< That one leaf accepts from all instances.
+
+  bool operator==(const service_limits&) const = default;
+};
+
+/** What a caller may send, and how long it may take or stay idle. */
+struct caller_limits
+{
+  std::size_t mMaxHeaderBytes = 16'384;
+  std::size_t mMaxBodyBytes = 262'144;
+  std::chrono::milliseconds mHeaderTimeout{ 3'000 };
+  std::chrono::milliseconds mIdleTimeout{ 15'000 };
+
+  bool operator==(const caller_limits&) const = default;
+};
+
+} // namespace monsooncroft::serving
+
+#endif
--- /dev/null
+++ b/src/serving/routing_config.cpp
@@ -0,0 +1,78 @@
+/**
+ * @file routing_config.cpp
+ * Choosing the route of a request.
+ */
+#include "serving/routing_config_base.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace monsooncroft::serving {
+
+namespace {
+
+std::string
+HostKey(std::string_view aHost)
+{
+  std::string key(aHost.substr(0, aHost.find(':')));
+  std::transform(key.begin(), key.end(), key.begin(), [](unsigned char aByte) {
+    return static_cast<char>(std::tolower(aByte));
+  });
+  return key;
+}
+
+} // namespace
+
+std::shared_ptr<const routing_config>
+routing_config::Create(content aContent)
+{
+  return std::shared_ptr<const routing_config>(
+    new routing_config(std::move(aContent)));
+}
+
+routing_config::routing_config(content aContent)
+  : mContent(std::move(aContent))
+{
+  for (const route& each : mContent.mRoutes) {
+    mByHost[HostKey(each.mHost)].push_back(&each);
+    for (const weighted_service& target : each.mTargets) {
+      mRouted.push_back(target.mService);
+    }
+    for (const std::string& shard : each.mShards) {
+      mRouted.push_back(shard);
+    }
+  }
+  std::sort(mRouted.begin(), mRouted.end());
+  mRouted.erase(std::unique(mRouted.begin(), mRouted.end()), mRouted.end());
+  for (auto& [host, routes] : mByHost) {
+    std::stable_sort(
+      routes.begin(), routes.end(), [](const route* aLeft, const route* aRight) {
+        return aLeft->mPrefix.size() > aRight->mPrefix.size();
+      });
+  }
+}
+
+const route*
+routing_config::Match(std::string_view aHost, std::string_view aPath) const
+{
+  const auto found = mByHost.find(HostKey(aHost));
+  if (found == mByHost.end()) {
+    return nullptr;
+  }
+  const std::string_view path = aPath.substr(0, aPath.find('?'));
+  for (const route* each : found->second) {
+    if (path.substr(0, each->mPrefix.size()) == each->mPrefix) {
+      return each;
+    }
+  }
+  return nullptr;
+}
+
+int
+routing_config::MaxConnections(const std::string& aService) const
+{
+  const auto found = mContent.mServices.find(aService);
+  return found == mContent.mServices.end() ? 1 : found->second.mMaxConnections;
+}
+
+} // namespace monsooncroft::serving
--- /dev/null
+++ b/src/serving/routing_config_base.h
@@ -0,0 +1,70 @@
+/**
+ * @file routing_config_base.h
+ * One version of the routing configuration.
+ */
+#ifndef MONSOONCROFT_SERVING_ROUTING_CONFIG_BASE_H
+#define MONSOONCROFT_SERVING_ROUTING_CONFIG_BASE_H
+
+#include "serving/route_type.h"
+
+#include <map>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace monsooncroft::serving {
+
+/** Immutable; requests in flight keep the version that they began with. */
+class routing_config
+{
+public:
+  /** Content of a version, as decoded. */
+  struct content
+  {
+    std::uint64_t mVersion = 0; ///< Grows with each change.
+    std::vector<route> mRoutes;
+    std::map<std::string, service_limits> mServices;
+    caller_limits mLimits;
+
+    bool operator==(const content&) const = default;
+  };
+
+  static std::shared_ptr<const routing_config> Create(content aContent);
+
+  /**
+   * The route of a request.
+   * @param aHost Host header; a port is ignored.
+   * @param aPath Path with or without a query.
+   * @return The route with the longest prefix; null if there is none.
+   */
+  const route* Match(std::string_view aHost, std::string_view aPath) const;
+
+  std::uint64_t Version() const { return mContent.mVersion; }
+  const caller_limits& Limits() const { return mContent.mLimits; }
+  const std::vector<route>& Routes() const { return mContent.mRoutes; }
+  const std::map<std::string, service_limits>& Services() const
+  {
+    return mContent.mServices;
+  }
+  /** Connection limit of one leaf; 1 for a service that is not listed. */
+  int MaxConnections(const std::string& aService) const;
+  /** Services that any route names, each once. */
+  const std::vector<std::string>& RoutedServices() const
+  {
+    return mRouted;
+  }
+
+private:
+  explicit routing_config(content aContent);
+
+  content mContent;
+  /** Routes of a host, longest prefix first. */
+  std::unordered_map<std::string, std::vector<const route*>> mByHost;
+  std::vector<std::string> mRouted;
+};
+
+using routing_config_ptr = std::shared_ptr<const routing_config>;
+
+} // namespace monsooncroft::serving
+
+#endif
--- a/test/link/connection_share_test.cpp
+++ b/test/policy/connection_share_test.cpp
@@ -2,12 +2,12 @@
  * @file connection_share_test.cpp
  * Owners and former owners together stay within a leaf's limit.
  */
-#include "link/connection_share_func.h"
+#include "policy/connection_share_func.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-namespace monsooncroft::link {
+namespace monsooncroft::policy {
 namespace {
 
 RC_GTEST_PROP(connection_share, hand_over_stays_within_the_limit, ())
@@ -36,4 +36,4 @@
 }
 
 } // namespace
-} // namespace monsooncroft::link
+} // namespace monsooncroft::policy
