A stream ends with its link; a reset behind the last bytes is no end in order; expired attempts placed anew

And exits with code 139: a link replaced at a leaf's new incarnation was destroyed while its stream still waited to be closed. Ruled out: ids, crossed answers.

--- a/src/gateway/event_loop.cpp
+++ b/src/gateway/event_loop.cpp
@@ -13,12 +13,18 @@
 event_loop::event_loop()
   : mLoop(uv_default_loop())
   , mCheck(new uv_check_t())
+  , mPrepare(new uv_prepare_t())
 {
   uv_check_init(mLoop, mCheck);
   mCheck->data = this;
   uv_check_start(mCheck, [](uv_check_t* aCheck) {
     static_cast<event_loop*>(aCheck->data)->RunDeferred();
   });
+  uv_prepare_init(mLoop, mPrepare);
+  mPrepare->data = this;
+  uv_prepare_start(mPrepare, [](uv_prepare_t* aPrepare) {
+    static_cast<event_loop*>(aPrepare->data)->RunDeferred();
+  });
 }
 
 event_loop::~event_loop()
@@ -26,6 +32,9 @@
   uv_close(reinterpret_cast<uv_handle_t*>(mCheck), [](uv_handle_t* aHandle) {
     delete reinterpret_cast<uv_check_t*>(aHandle);
   });
+  uv_close(reinterpret_cast<uv_handle_t*>(mPrepare), [](uv_handle_t* aHandle) {
+    delete reinterpret_cast<uv_prepare_t*>(aHandle);
+  });
   RunDeferred();
   uv_run(mLoop, UV_RUN_NOWAIT);
 }
--- a/src/gateway/event_loop_base.h
+++ b/src/gateway/event_loop_base.h
@@ -13,6 +13,7 @@
 // libuv's handle types, so that this header stays cheap.
 using uv_loop_t = struct uv_loop_s;
 using uv_check_t = struct uv_check_s;
+using uv_prepare_t = struct uv_prepare_s;
 
 namespace monsooncroft::gateway {
 
@@ -38,7 +39,8 @@
   void RunDeferred();
 
   uv_loop_t* mLoop;
-  uv_check_t* mCheck;
+  uv_check_t* mCheck;     ///< After reading and writing.
+  uv_prepare_t* mPrepare; ///< After timers.
   std::vector<std::function<void()>> mDeferred;
 };
 
--- a/src/gateway/http_channel.cpp
+++ b/src/gateway/http_channel.cpp
@@ -108,7 +108,7 @@
 {
   mConnected = false;
   mReader.Next();
-  mLoop.Defer([stream = std::shared_ptr<tcp_stream>(std::move(mStream))] {});
+  mStream.reset(); // Safe within its own callback.
 }
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/leaf_link.cpp
+++ b/src/gateway/leaf_link.cpp
@@ -237,7 +237,7 @@
   if (attempt && mStream) {
     mStream->Reset();
   }
-  mLoop.Defer([stream = std::shared_ptr<tcp_stream>(std::move(mStream))] {});
+  mStream.reset(); // Safe within its own callback.
   if (attempt) {
     mLeaf.OnAttemptDone(*attempt, aEnd, mSince);
   }
--- a/src/gateway/leaf_peer.cpp
+++ b/src/gateway/leaf_peer.cpp
@@ -68,7 +68,8 @@
 leaf_peer::TakeWaiting(leaf_link& aLink, model::instant aNow)
 {
   DropExpired(aNow);
-  if (mWaiting.empty()) {
+  // What expired may have been placed anew, here.
+  if (mWaiting.empty() || !aLink.Usable(aNow)) {
     return false;
   }
   const leaf_attempt_ptr attempt = mWaiting.front();
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -65,8 +65,19 @@
       return;
     }
     uv_read_stop(aStream);
-    self->mHandler->OnEnd(aCount == UV_EOF ? stream_end::Finished
-                                           : stream_end::Broken);
+    self->mHandler->OnEnd(aCount == UV_EOF && EndedInOrder(aStream)
+                            ? stream_end::Finished
+                            : stream_end::Broken);
+  }
+
+  /** libuv reports a reset behind the last bytes as an end in order: it does
+   * not read again after a hang-up. Reading once more tells them apart. */
+  static bool EndedInOrder(uv_stream_t* aStream)
+  {
+    uv_os_fd_t socket = -1;
+    char byte = 0;
+    return uv_fileno(reinterpret_cast<uv_handle_t*>(aStream), &socket) == 0 &&
+           ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
   }
 
   static void OnWritten(uv_write_t* aRequest, int aStatus)
