--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -136,8 +136,12 @@
     mHooks.mOnSuspicion(suspicion);
   }
   for (const serving::directory_delta& delta : message->mDeltas) {
-    mDirectory.OnDelta(delta, now);
+    mFreshness.OnHeard(delta.mRevision, now);
+    const bool complete = mDirectory.OnDelta(delta, now);
     ApplyLeaves();
+    if (!complete && !mPull.mBusy && now >= mPull.mNext) {
+      PullSnapshot(message->mMembers.front());
+    }
   }
   if (message->mWantsReply) {
     mPort.Send(aFrom, serving::EncodeMessage(Message(false)));
@@ -176,32 +180,59 @@
   }
 }
 
+bool
+control_plane::LacksLeaves() const
+{
+  if (!mConfig) {
+    return false;
+  }
+  const auto& services = mConfig->RoutedServices();
+  return std::any_of(
+    services.begin(), services.end(), [&](const std::string& aService) {
+      return std::none_of(
+        mEntries.begin(), mEntries.end(), [&](const auto& aEntry) {
+          return aEntry.second.mService == aService;
+        });
+    });
+}
+
+bool
+control_plane::DirectoryDue(model::instant aNow) const
+{
+  const auto complete = mDirectory.LastComplete();
+  if (!complete) {
+    return true;
+  }
+  const std::size_t rank = std::min(mFleet.Rank("directory", false, aNow),
+                                    mSettings.mMostStaggers);
+  const auto period = mSettings.mDirectoryPeriod +
+                      static_cast<int>(rank) * mSettings.mDirectoryStagger;
+  return aNow - *complete >= period;
+}
+
 void
 control_plane::ReadDirectory(model::instant aNow)
 {
-  if (mDirectoryCall.mBusy || aNow < mDirectoryCall.mNext) {
+  if (mDirectoryCall.mBusy || aNow < mDirectoryCall.mNext ||
+      !DirectoryDue(aNow)) {
     return;
   }
-  const auto complete = mDirectory.LastComplete();
-  if (complete) {
-    const std::size_t rank = std::min(
-      mFleet.Rank("directory", false, aNow), mSettings.mMostStaggers);
-    const auto due = mSettings.mDirectoryPeriod +
-                     static_cast<int>(rank) * mSettings.mDirectoryStagger;
-    if (aNow - *complete < due) {
-      return;
-    }
-  }
+  const bool first = !mDirectory.LastComplete();
+  const bool mayBeOld =
+    first || (mFreshness.MayBeOld(aNow) && !LacksLeaves());
   mDirectoryCall.mBusy = true;
-  mMetrics.Count("store_calls", { { "call", "directory" } });
+  mMetrics.Count("store_calls",
+                 { { "call", mayBeOld ? "directory" : "directory_fresh" } });
   mStore.ReadDirectory(
-    true, [this](const store_result<serving::directory_read>& aResult) {
-      OnDirectory(aResult);
+    mayBeOld,
+    [this, mayBeOld](const store_result<serving::directory_read>& aResult) {
+      OnDirectory(aResult, mayBeOld);
     });
 }
 
 void
-control_plane::OnDirectory(const store_result<serving::directory_read>& aResult)
+control_plane::OnDirectory(const store_result<serving::directory_read>& aResult,
+                           bool aMayBeOld)
 {
   const auto* error = std::get_if<store_error>(&aResult);
   OnCallDone(mDirectoryCall,
@@ -212,15 +243,18 @@
   }
   const model::instant now = event_loop::Now();
   const auto& read = std::get<serving::directory_read>(aResult);
-  const auto delta = mDirectory.OnRead(read, now);
-  if (!delta) {
+  if (mFreshness.OnRead(read.mRevision, aMayBeOld, now)) {
     mLog.Write(ops::log_level::Info,
                "directory_read_old",
                { { "revision", static_cast<long>(read.mRevision) },
                  { "known", static_cast<long>(mDirectory.Revision()) } });
-    mDirectoryCall.mNext = now + mSettings.mRetryPause;
+    ReadDirectory(now);
     return;
   }
+  const auto delta = mDirectory.OnRead(read, now);
+  if (!delta) {
+    return; // A peer's newer read has arrived meanwhile.
+  }
   ApplyLeaves();
   serving::fleet_message message;
   message.mMembers = { mFleet.Self() };
@@ -259,7 +293,7 @@
 {
   if (const auto newer = mFleet.NewerConfig(aNow);
       newer && !mPull.mBusy && aNow >= mPull.mNext) {
-    PullConfig(*newer);
+    PullSnapshot(*newer);
   }
   if (!mConfig) {
     if (!mConfigCall.mBusy && aNow >= mConfigCall.mNext) {
@@ -324,7 +358,7 @@
 }
 
 void
-control_plane::PullConfig(const serving::fleet_member& aFrom)
+control_plane::PullSnapshot(const serving::fleet_member& aFrom)
 {
   mPull.mBusy = true;
   mMetrics.Count("peer_pulls");
@@ -351,7 +385,8 @@
     return;
   }
   Adopt({ snapshot->mConfigRevision, snapshot->mConfigText }, "peer");
-  if (!mDirectory.LastComplete() && snapshot->mDirectory.mRevision > 0) {
+  if (snapshot->mDirectory.mRevision > mDirectory.Revision()) {
+    mFreshness.OnHeard(snapshot->mDirectory.mRevision, now);
     mDirectory.OnRead(snapshot->mDirectory, now);
     ApplyLeaves();
   }
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -10,6 +10,7 @@
 #include "gateway/peer_port_base.h"
 #include "serving/fleet_view_base.h"
 #include "serving/leaf_directory_base.h"
+#include "serving/read_freshness_base.h"
 
 #include <functional>
 #include <memory>
@@ -82,11 +83,15 @@
   };
 
   void ReadDirectory(model::instant aNow);
-  void OnDirectory(const store_result<serving::directory_read>& aResult);
+  /** The next read is due now; nothing otherwise. */
+  bool DirectoryDue(model::instant aNow) const;
+  void OnDirectory(const store_result<serving::directory_read>& aResult,
+                   bool aMayBeOld);
+  bool LacksLeaves() const; ///< A routed service has no leaf at all.
   void FollowConfig(model::instant aNow);
   void ReadConfig(bool aMayBeOld);
   void WatchConfig();
-  void PullConfig(const serving::fleet_member& aFrom);
+  void PullSnapshot(const serving::fleet_member& aFrom);
   bool Adopt(const config_text& aText, const char* aSource);
   void OnSnapshot(const std::string& aBytes, const std::string& aFrom);
   void OnDatagram(std::string_view aBytes, const model::endpoint& aFrom);
@@ -116,6 +121,7 @@
   std::optional<model::instant> mStoreHeard; ///< By this one or a peer.
   int mFailures = 0; ///< Of calls to the store, in a row.
   std::map<std::string, serving::leaf_entry> mEntries; ///< For snapshots.
+  serving::read_freshness mFreshness;
   peer_port mPort;
 };
 
--- a/src/gateway/leaf_peer.cpp
+++ b/src/gateway/leaf_peer.cpp
@@ -88,7 +88,7 @@
       ++place;
       continue;
     }
-    mLoad.OnDropped(attempt->mQueued);
+    mLoad.OnDropped(attempt->mQueued, std::nullopt, attempt->mUsualWork, aNow);
     expired.push_back(attempt);
     place = mWaiting.erase(place);
   }
@@ -175,7 +175,10 @@
 {
   const auto waiting = std::exchange(mWaiting, {});
   for (const leaf_attempt_ptr& attempt : waiting) {
-    mLoad.OnDropped(attempt->mQueued);
+    mLoad.OnDropped(attempt->mQueued,
+                    std::nullopt,
+                    attempt->mUsualWork,
+                    event_loop::Now());
     attempt->End({ attempt_end::NotSent, {}, aReason });
   }
 }
@@ -219,14 +222,14 @@
                          attempt_end aEnd,
                          model::instant aNow)
 {
+  std::optional<model::duration> work;
+  if (aEnd != attempt_end::NotRun && aAttempt.mSent) {
+    work = aNow - *aAttempt.mSent - mLoad.RoundTrip();
+  }
   if (aEnd == attempt_end::Answered || aEnd == attempt_end::NotRun) {
-    std::optional<model::duration> work;
-    if (aEnd == attempt_end::Answered && aAttempt.mSent) {
-      work = aNow - *aAttempt.mSent - mLoad.RoundTrip();
-    }
     mLoad.OnAnswer(aAttempt.mQueued, work, aAttempt.mUsualWork, aNow);
   } else {
-    mLoad.OnDropped(aAttempt.mQueued);
+    mLoad.OnDropped(aAttempt.mQueued, work, aAttempt.mUsualWork, aNow);
   }
 }
 
--- a/src/gateway/query_run.cpp
+++ b/src/gateway/query_run.cpp
@@ -9,6 +9,7 @@
 #include "gateway/request_head_func.h"
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
+#include "serving/omission_func.h"
 #include "serving/record_merge_func.h"
 
 #include <algorithm>
@@ -59,25 +60,81 @@
       run->Finish(nullptr, "caller_left", event_loop::Now());
     }
   });
-  std::size_t without = 0;
-  for (std::size_t place = 0; place < mParts.size(); ++place) {
-    mContext.mBudget.OnRequest(mPlan.mServices[place], now);
-    without += Choose(place, false, now) == nullptr ? 1 : 0;
+  for (const std::string& service : mPlan.mServices) {
+    mContext.mBudget.OnRequest(service, now);
   }
-  if (mParts.size() - without < mTerms.mLeast) {
+  if (mParts.size() - LeaveOutLate(now) < mTerms.mLeast) {
     mLastReason = "no leaf";
     GiveUp(now);
     return;
   }
   mSelf = self;
   for (std::size_t place = 0; place < mParts.size() && !mDone; ++place) {
-    Place(place, now);
+    if (!mParts[place].mLost) {
+      Place(place, now);
+    }
   }
   if (!mDone) {
     Evaluate(now);
   }
 }
 
+std::size_t
+query_run::LeaveOutLate(model::instant aNow)
+{
+  std::size_t without = 0;
+  std::vector<model::duration> expected;
+  expected.reserve(mParts.size());
+  for (std::size_t place = 0; place < mParts.size(); ++place) {
+    const leaf_peer* leaf = Choose(place, false, aNow);
+    without += leaf == nullptr ? 1 : 0;
+    expected.push_back(leaf == nullptr
+                         ? model::duration::max()
+                         : leaf->Load().ExpectedLatency(
+                             mPlan.mLatency->Mean(), aNow));
+  }
+  const auto omitted = serving::ChooseOmissions(
+    expected, mTerms.mAnswerBy - aNow, mTerms.mTotal - mTerms.mLeast);
+  for (const std::size_t place : omitted) {
+    mParts[place].mOmitted = true;
+    mParts[place].mLost = true;
+    ++mLostParts;
+    ++mOmitted;
+  }
+  return without;
+}
+
+bool
+query_run::TakeUpOmitted(model::instant aNow)
+{
+  for (std::size_t place = 0; place < mParts.size(); ++place) {
+    part& shard = mParts[place];
+    if (shard.mOmitted) {
+      shard.mOmitted = false;
+      shard.mLost = false;
+      --mLostParts;
+      --mOmitted;
+      Place(place, aNow);
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+query_run::Lose(std::size_t aPart, model::instant aNow)
+{
+  if (mParts[aPart].mLost) {
+    return;
+  }
+  mParts[aPart].mLost = true;
+  ++mLostParts;
+  // Another shard's failure makes one needed that was left out.
+  if (mParts.size() - mLostParts < mTerms.mLeast) {
+    TakeUpOmitted(aNow);
+  }
+}
+
 leaf_peer*
 query_run::Choose(std::size_t aPart, bool aFreshOnly, model::instant aNow)
 {
@@ -205,9 +262,8 @@
   if (shard.mAttempts.empty()) {
     if (MayTryAgain(place, mayHaveRun, now)) {
       Place(place, now);
-    } else if (!shard.mLost) {
-      shard.mLost = true;
-      ++mLostParts;
+    } else {
+      Lose(place, now);
     }
   }
   if (!mDone) {
@@ -275,7 +331,8 @@
   }
   leaf_peer* leaf = Choose(aPart, true, aNow);
   if (leaf == nullptr ||
-      leaf->Load().Suspect(mPlan.mLatency->Mean(), aNow) ||
+      aNow + leaf->Load().ExpectedLatency(mPlan.mLatency->Mean(), aNow) >
+        std::max(mTerms.mAnswerBy, aNow + mPlan.mLatency->High()) ||
       !mContext.mBudget.TryTake(mPlan.mServices[aPart],
                                 serving::extra_budget::purpose::Hedge,
                                 aNow)) {
@@ -434,6 +491,7 @@
       { "total", static_cast<long>(mParts.size()) },
       { "sends", static_cast<long>(mSends) },
       { "hedges", static_cast<long>(mHedges) },
+      { "omitted", static_cast<long>(mOmitted) },
       { "missing", MissingText() },
       { "reason", std::string(mLastReason) } });
   mContext.mMetrics.Count("requests", { { "outcome", aOutcome } });
--- a/src/gateway/query_run_base.h
+++ b/src/gateway/query_run_base.h
@@ -47,10 +47,15 @@
     int mSends = 0;         ///< That reached a leaf or may have.
     bool mAnswered = false;
     bool mLost = false;     ///< No further attempt is possible.
+    bool mOmitted = false;  ///< Left out so far, because it would be late.
     model::instant mHedgeAt;
     http_message mAnswer;
   };
 
+  /** @return Shards for which there is no leaf. */
+  std::size_t LeaveOutLate(model::instant aNow);
+  bool TakeUpOmitted(model::instant aNow);
+  void Lose(std::size_t aPart, model::instant aNow);
   bool Place(std::size_t aPart, model::instant aNow);
   void Submit(std::size_t aPart, leaf_peer& aLeaf, model::instant aNow);
   bool MayTryAgain(std::size_t aPart, bool aMayHaveRun, model::instant aNow);
@@ -79,6 +84,7 @@
   int mSends = 0;
   int mExtra = 0;
   int mHedges = 0;
+  int mOmitted = 0;
   bool mMayHaveRun = false; ///< An attempt ended without a proof.
   bool mRefusedAsFull = false;
   bool mDone = false;
--- a/src/serving/leaf_load.cpp
+++ b/src/serving/leaf_load.cpp
@@ -11,13 +11,11 @@
 
 namespace {
 
-/** One answer counts at most so much: pauses are no property of the speed. */
-constexpr double kMostSlowness = 6;
-constexpr double kLeastSlowness = 0.2;
-constexpr double kSampleWeight = 0.25; ///< Of one answer in the slowness.
-/** An observed slowness is half forgotten after such a time without answers,
+constexpr std::chrono::milliseconds kMostExcess{ 1'000 }; ///< Of one answer.
+constexpr int kSampleDivisor = 4; ///< An answer's weight in the mean.
+/** An observed excess is half forgotten after such a time without answers,
  * so that a leaf that has recovered is tried again. */
-constexpr double kForgetSeconds = 1.5;
+constexpr double kForgetSeconds = 0.8;
 /** A cold leaf takes so many times as long; its registration tells how long. */
 constexpr double kColdFactor = 1.6;
 /** An answer is overdue after so many times the expected latency. */
@@ -42,7 +40,7 @@
 }
 
 void
-leaf_load::OnDropped(model::instant aQueued)
+leaf_load::Forget(model::instant aQueued)
 {
   const auto found =
     std::find(mOutstanding.begin(), mOutstanding.end(), aQueued);
@@ -51,29 +49,44 @@
   }
 }
 
+void
+leaf_load::Learn(model::duration aSample, model::instant aNow)
+{
+  // The lower of two in a row: one answer that met a pause tells no speed.
+  const model::duration sample = std::min(aSample, mLastSample);
+  mLastSample = aSample;
+  const model::duration known = Excess(aNow);
+  mExcess = known + (std::min<model::duration>(sample, kMostExcess) - known) /
+                      kSampleDivisor;
+  mExcessAt = aNow;
+}
+
+void
+leaf_load::OnDropped(model::instant aQueued,
+                     std::optional<model::duration> aAtLeast,
+                     model::duration aUsualWork,
+                     model::instant aNow)
+{
+  Forget(aQueued);
+  if (aAtLeast && *aAtLeast - aUsualWork > Excess(aNow)) {
+    Learn(*aAtLeast - aUsualWork, aNow);
+  }
+}
+
 void
 leaf_load::OnAnswer(model::instant aQueued,
                     std::optional<model::duration> aWork,
                     model::duration aUsualWork,
                     model::instant aNow)
 {
-  OnDropped(aQueued);
+  Forget(aQueued);
   mLastAnswer = aNow;
   mRefusals = 0;
   mRefusesUntil = model::instant();
   mPeerSuspectUntil = model::instant();
-  if (!aWork) {
-    return;
+  if (aWork) {
+    Learn(*aWork - aUsualWork, aNow);
   }
-  const double sample =
-    std::clamp(static_cast<double>(aWork->count()) /
-                 static_cast<double>(
-                   std::max<model::duration::rep>(1, aUsualWork.count())),
-               kLeastSlowness,
-               kMostSlowness);
-  const double known = Slowness(aNow);
-  mSlowness = known + kSampleWeight * (sample - known);
-  mSlownessAt = aNow;
 }
 
 void
@@ -103,13 +116,13 @@
   mPeerSuspectUntil = std::max(mPeerSuspectUntil, aUntil);
 }
 
-double
-leaf_load::Slowness(model::instant aNow) const
+model::duration
+leaf_load::Excess(model::instant aNow) const
 {
-  const double age =
-    std::chrono::duration<double>(aNow - mSlownessAt).count();
+  const double age = std::chrono::duration<double>(aNow - mExcessAt).count();
   const double kept = std::exp2(-std::max(0.0, age) / kForgetSeconds);
-  return 1 + (mSlowness - 1) * kept;
+  return model::duration(static_cast<model::duration::rep>(
+    static_cast<double>(mExcess.count()) * kept));
 }
 
 bool
@@ -139,9 +152,8 @@
     return false;
   }
   const auto expected =
-    mRoundTrip +
-    model::duration(static_cast<model::duration::rep>(
-      static_cast<double>(aUsualWork.count()) * Slowness(aNow)));
+    mRoundTrip + aUsualWork +
+    std::max<model::duration>(Excess(aNow), model::duration(0));
   return aNow - oldest >
          std::max<model::duration>(kOverdueFactor * expected, kLeastOverdue);
 }
@@ -150,13 +162,12 @@
 leaf_load::ExpectedLatency(model::duration aUsualWork,
                            model::instant aNow) const
 {
-  double work = static_cast<double>(aUsualWork.count()) * Slowness(aNow);
-  if (aNow < mColdUntil) {
-    work *= kColdFactor;
-  }
-  work *= 1 + static_cast<double>(mOutstanding.size());
-  auto expected =
-    mRoundTrip + model::duration(static_cast<model::duration::rep>(work));
+  const double factor = (aNow < mColdUntil ? kColdFactor : 1) +
+                        static_cast<double>(mOutstanding.size());
+  const auto work = model::duration(static_cast<model::duration::rep>(
+    static_cast<double>(aUsualWork.count()) * factor));
+  // A fast leaf's answers take less than the usual, but never no time.
+  auto expected = mRoundTrip + std::max(work + Excess(aNow), work / 3);
   if (Suspect(aUsualWork, aNow)) {
     expected += kSuspectPenalty;
   }
--- a/src/serving/leaf_load_base.h
+++ b/src/serving/leaf_load_base.h
@@ -34,7 +34,15 @@
                 std::optional<model::duration> aWork,
                 model::duration aUsualWork,
                 model::instant aNow);
-  void OnDropped(model::instant aQueued); ///< It ended without an answer.
+  /**
+   * It ended without an answer.
+   * @param aAtLeast Time that it had been at the leaf, which the answer would
+   * have exceeded; nothing if that tells no speed.
+   */
+  void OnDropped(model::instant aQueued,
+                 std::optional<model::duration> aAtLeast,
+                 model::duration aUsualWork,
+                 model::instant aNow);
   void OnRefused(model::instant aNow);  ///< No connection could be made, or
                                         ///< all of them were reset.
   void OnConnected(model::duration aRoundTrip, model::instant aNow);
@@ -54,17 +62,21 @@
   /** It refused connections a moment ago. */
   bool Refuses(model::instant aNow) const { return aNow < mRefusesUntil; }
   model::instant RefusesUntil() const { return mRefusesUntil; }
-  /** Its work times, relative to the usual. */
-  double Slowness(model::instant aNow) const;
+  /** What its answers take beyond the usual, by its speed and its queue. */
+  model::duration Excess(model::instant aNow) const;
   /** Expected time from sending to the answer. */
   model::duration ExpectedLatency(model::duration aUsualWork,
                                   model::instant aNow) const;
 
 private:
+  void Forget(model::instant aQueued);
+  void Learn(model::duration aSample, model::instant aNow);
+
   std::vector<model::instant> mOutstanding; ///< Oldest first.
   model::duration mRoundTrip{ 0 }; ///< 0: not measured.
-  double mSlowness = 1;
-  model::instant mSlownessAt;
+  model::duration mExcess{ 0 };
+  model::instant mExcessAt;
+  model::duration mLastSample{ 0 };
   std::optional<model::instant> mLastAnswer;
   model::instant mColdUntil;
   model::instant mRefusesUntil;
--- /dev/null
+++ b/src/serving/omission.cpp
@@ -0,0 +1,29 @@
+/**
+ * @file omission.cpp
+ * Which shards a fan-out leaves out from the beginning.
+ */
+#include "serving/omission_func.h"
+
+#include <algorithm>
+
+namespace monsooncroft::serving {
+
+std::vector<std::size_t>
+ChooseOmissions(const std::vector<model::duration>& aExpected,
+                model::duration aTime,
+                std::size_t aMost)
+{
+  std::vector<std::size_t> late;
+  for (std::size_t place = 0; place < aExpected.size(); ++place) {
+    if (aExpected[place] > aTime) {
+      late.push_back(place);
+    }
+  }
+  std::sort(late.begin(), late.end(), [&](std::size_t aLeft, std::size_t aRight) {
+    return aExpected[aLeft] > aExpected[aRight];
+  });
+  late.resize(std::min(late.size(), aMost));
+  return late;
+}
+
+} // namespace monsooncroft::serving
