--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -17,6 +17,8 @@
 
 /** Failures in a row after which others take over this one's duties. */
 constexpr int kFailuresToYield = 2;
+/** Cheap reads that were old are taken to be so for this long. */
+constexpr std::chrono::milliseconds kFreshFor{ 2'500 };
 
 } // namespace
 
@@ -136,7 +138,6 @@
     mHooks.mOnSuspicion(suspicion);
   }
   for (const serving::directory_delta& delta : message->mDeltas) {
-    mFreshness.OnHeard(delta.mRevision, now);
     const bool complete = mDirectory.OnDelta(delta, now);
     ApplyLeaves();
     if (!complete && !mPull.mBusy && now >= mPull.mNext) {
@@ -155,7 +156,9 @@
 {
   const model::instant now = event_loop::Now();
   aState.mBusy = false;
-  if (!aError) {
+  const bool answered = !aError || *aError == store_error::Absent ||
+                        *aError == store_error::HistoryLost;
+  if (answered) {
     aState.mPause = model::duration(0);
     mFailures = 0;
     mStoreHeard = now;
@@ -164,14 +167,16 @@
         ops::log_level::Info, "store_reached", { { "call", std::string(aCall) } });
       mFleet.SetReachesStore(true);
     }
+  }
+  if (!aError) {
     return;
   }
   aState.mPause = std::clamp<model::duration>(
     2 * aState.mPause, mSettings.mRetryPause, mSettings.mLongestRetryPause);
   aState.mNext = now + aState.mPause;
-  ++mFailures;
   mMetrics.Count("store_failures", { { "call", aCall } });
-  if (mFailures == kFailuresToYield) {
+  mFailures += answered ? 0 : 1;
+  if (!answered && mFailures == kFailuresToYield) {
     mLog.Write(ops::log_level::Warning,
                "store_lost",
                { { "call", std::string(aCall) },
@@ -180,22 +185,6 @@
   }
 }
 
-bool
-control_plane::LacksLeaves() const
-{
-  if (!mConfig) {
-    return false;
-  }
-  const auto& services = mConfig->RoutedServices();
-  return std::any_of(
-    services.begin(), services.end(), [&](const std::string& aService) {
-      return std::none_of(
-        mEntries.begin(), mEntries.end(), [&](const auto& aEntry) {
-          return aEntry.second.mService == aService;
-        });
-    });
-}
-
 bool
 control_plane::DirectoryDue(model::instant aNow) const
 {
@@ -213,13 +202,20 @@
 void
 control_plane::ReadDirectory(model::instant aNow)
 {
-  if (mDirectoryCall.mBusy || aNow < mDirectoryCall.mNext ||
-      !DirectoryDue(aNow)) {
-    return;
+  if (!mDirectoryCall.mBusy && aNow >= mDirectoryCall.mNext &&
+      DirectoryDue(aNow)) {
+    ReadDirectoryNow(aNow);
+  }
+  WatchDirectory(aNow);
+  if (const auto delta = mDirectory.Settle(aNow)) {
+    TellDirectory(*delta, aNow);
   }
-  const bool first = !mDirectory.LastComplete();
-  const bool mayBeOld =
-    first || (mFreshness.MayBeOld(aNow) && !LacksLeaves());
+}
+
+void
+control_plane::ReadDirectoryNow(model::instant aNow)
+{
+  const bool mayBeOld = aNow >= mFreshUntil;
   mDirectoryCall.mBusy = true;
   mMetrics.Count("store_calls",
                  { { "call", mayBeOld ? "directory" : "directory_fresh" } });
@@ -243,23 +239,71 @@
   }
   const model::instant now = event_loop::Now();
   const auto& read = std::get<serving::directory_read>(aResult);
-  if (mFreshness.OnRead(read.mRevision, aMayBeOld, now)) {
-    mLog.Write(ops::log_level::Info,
-               "directory_read_old",
-               { { "revision", static_cast<long>(read.mRevision) },
-                 { "known", static_cast<long>(mDirectory.Revision()) } });
-    ReadDirectory(now);
+  if (const auto delta = mDirectory.OnRead(read, now)) {
+    TellDirectory(*delta, now);
     return;
   }
-  const auto delta = mDirectory.OnRead(read, now);
-  if (!delta) {
-    return; // A peer's newer read has arrived meanwhile.
+  mLog.Write(ops::log_level::Info,
+             "directory_read_old",
+             { { "revision", static_cast<long>(read.mRevision) },
+               { "known", static_cast<long>(mDirectory.Revision()) } });
+  if (aMayBeOld) {
+    mFreshUntil = now + kFreshFor;
+    ReadDirectoryNow(now);
   }
+}
+
+void
+control_plane::TellDirectory(const serving::directory_delta& aDelta,
+                             model::instant aNow)
+{
   ApplyLeaves();
   serving::fleet_message message;
   message.mMembers = { mFleet.Self() };
-  message.mDeltas = { *delta };
-  TellAll(message, now);
+  message.mDeltas = { aDelta };
+  TellAll(message, aNow);
+}
+
+void
+control_plane::WatchDirectory(model::instant aNow)
+{
+  if (mDirectoryWatch.mBusy || aNow < mDirectoryWatch.mNext ||
+      !mDirectory.LastComplete() || mFleet.Rank("directory", false, aNow) > 0) {
+    return;
+  }
+  mDirectoryWatch.mBusy = true;
+  mMetrics.Count("store_calls", { { "call", "directory_watch" } });
+  mStore.WatchDirectory(
+    mDirectory.Revision(),
+    mSettings.mWatchWait,
+    [this](const store_result<serving::directory_delta>& aResult) {
+      OnDirectoryChange(aResult);
+    });
+}
+
+void
+control_plane::OnDirectoryChange(
+  const store_result<serving::directory_delta>& aResult)
+{
+  const auto* error = std::get_if<store_error>(&aResult);
+  OnCallDone(mDirectoryWatch,
+             "directory_watch",
+             error == nullptr ? std::nullopt : std::optional(*error));
+  const model::instant now = event_loop::Now();
+  if (error != nullptr) {
+    if (*error == store_error::HistoryLost) {
+      mFreshUntil = now + kFreshFor;
+      mDirectoryCall.mNext = now;
+      if (!mDirectoryCall.mBusy) {
+        ReadDirectoryNow(now);
+      }
+    }
+    return;
+  }
+  // Changes come in bursts: one call takes several.
+  mDirectoryWatch.mNext = now + mSettings.mWatchPause;
+  TellDirectory(
+    mDirectory.OnWatch(std::get<serving::directory_delta>(aResult), now), now);
 }
 
 void
@@ -386,7 +430,6 @@
   }
   Adopt({ snapshot->mConfigRevision, snapshot->mConfigText }, "peer");
   if (snapshot->mDirectory.mRevision > mDirectory.Revision()) {
-    mFreshness.OnHeard(snapshot->mDirectory.mRevision, now);
     mDirectory.OnRead(snapshot->mDirectory, now);
     ApplyLeaves();
   }
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -10,7 +10,6 @@
 #include "gateway/peer_port_base.h"
 #include "serving/fleet_view_base.h"
 #include "serving/leaf_directory_base.h"
-#include "serving/read_freshness_base.h"
 
 #include <functional>
 #include <memory>
@@ -83,11 +82,16 @@
   };
 
   void ReadDirectory(model::instant aNow);
+  void ReadDirectoryNow(model::instant aNow);
   /** The next read is due now; nothing otherwise. */
   bool DirectoryDue(model::instant aNow) const;
   void OnDirectory(const store_result<serving::directory_read>& aResult,
                    bool aMayBeOld);
-  bool LacksLeaves() const; ///< A routed service has no leaf at all.
+  void WatchDirectory(model::instant aNow);
+  void OnDirectoryChange(
+    const store_result<serving::directory_delta>& aResult);
+  void TellDirectory(const serving::directory_delta& aDelta,
+                     model::instant aNow);
   void FollowConfig(model::instant aNow);
   void ReadConfig(bool aMayBeOld);
   void WatchConfig();
@@ -121,7 +125,8 @@
   std::optional<model::instant> mStoreHeard; ///< By this one or a peer.
   int mFailures = 0; ///< Of calls to the store, in a row.
   std::map<std::string, serving::leaf_entry> mEntries; ///< For snapshots.
-  serving::read_freshness mFreshness;
+  caller_state mDirectoryWatch;
+  model::instant mFreshUntil; ///< Cheap reads are known to be old.
   peer_port mPort;
 };
 
--- a/src/gateway/control_settings_type.h
+++ b/src/gateway/control_settings_type.h
@@ -12,9 +12,11 @@
 /** How often the store is called, and by whom. */
 struct control_settings
 {
-  /** Registrations are read so often by the fleet's first reader. Well below
-   * the time in which a draining leaf must get no more work. */
-  std::chrono::milliseconds mDirectoryPeriod{ 600 };
+  /** The fleet's first reader watches the registrations, and reads them so
+   * often besides, which shows that the store still answers. Well below the
+   * time in which a draining leaf must get no more work. */
+  std::chrono::milliseconds mDirectoryPeriod{ 900 };
+  std::chrono::milliseconds mWatchPause{ 400 }; ///< After each change.
   /** The next reader in rank takes over after so much longer. */
   std::chrono::milliseconds mDirectoryStagger{ 350 };
   std::size_t mMostStaggers = 4; ///< Later ranks do not wait any longer.
--- a/src/gateway/control_store_base.h
+++ b/src/gateway/control_store_base.h
@@ -64,6 +64,10 @@
   /** @param aMayBeOld Cheaper, but may be seconds old. */
   virtual void ReadDirectory(bool aMayBeOld,
                              callback<serving::directory_read> aDone) = 0;
+  /** Answers at the first changes after a revision, or after the wait. */
+  virtual void WatchDirectory(std::uint64_t aAfter,
+                              std::chrono::milliseconds aWait,
+                              callback<serving::directory_delta> aDone) = 0;
   virtual void ReadConfig(bool aMayBeOld, callback<config_text> aDone) = 0;
   /** Answers at the first change after a revision, or after the wait. */
   virtual void WatchConfig(std::uint64_t aAfter,
--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -4,10 +4,18 @@
  */
 #include "serving/leaf_directory_base.h"
 
+#include <algorithm>
 #include <set>
 
 namespace monsooncroft::serving {
 
+namespace {
+
+/** Ids that are remembered as gone; the oldest ones are forgotten first. */
+constexpr std::size_t kMostGone = 4'096;
+
+} // namespace
+
 bool
 leaf_directory::Put(const leaf_entry& aEntry)
 {
@@ -42,6 +50,25 @@
   return mStoreBack && aNow - *mStoreBack < mTerms.mReturnTime;
 }
 
+bool
+leaf_directory::Remove(const std::string& aId, std::uint64_t aRevision)
+{
+  const auto found = mEntries.find(aId);
+  if (found == mEntries.end() || found->second.mRevision > aRevision) {
+    return false;
+  }
+  mEntries.erase(found);
+  mPending.mRemoved.push_back(aId);
+  mGone[aId] = aRevision;
+  if (mGone.size() > kMostGone) {
+    mGone.erase(std::min_element(
+      mGone.begin(), mGone.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second < aRight.second;
+      }));
+  }
+  return true;
+}
+
 std::optional<directory_delta>
 leaf_directory::OnRead(const directory_read& aRead, model::instant aNow)
 {
@@ -57,22 +84,62 @@
       delta.mChanged.push_back(entry);
     }
   }
-  for (auto place = mEntries.begin(); place != mEntries.end();) {
-    if (present.contains(place->first) || keeps ||
-        place->second.mRevision > aRead.mRevision) {
-      ++place;
-      continue;
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : mEntries) {
+    if (!present.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    if (keeps) {
+      mMissing[id] = aRead.mRevision;
+    } else if (Remove(id, aRead.mRevision)) {
+      delta.mRemoved.push_back(id);
     }
-    delta.mRemoved.push_back(place->first);
-    mPending.mRemoved.push_back(place->first);
-    mGone[place->first] = aRead.mRevision;
-    place = mEntries.erase(place);
   }
   mRevision = aRead.mRevision;
   mLastComplete = aNow;
   return delta;
 }
 
+directory_delta
+leaf_directory::OnWatch(const directory_delta& aChanges, model::instant aNow)
+{
+  const bool keeps = KeepsMissing(aNow);
+  directory_delta delta{ mRevision, aChanges.mRevision, {}, {} };
+  for (const leaf_entry& entry : aChanges.mChanged) {
+    if (Put(entry)) {
+      delta.mChanged.push_back(entry);
+    }
+  }
+  for (const std::string& id : aChanges.mRemoved) {
+    if (keeps) {
+      mMissing[id] = aChanges.mRevision;
+    } else if (Remove(id, aChanges.mRevision)) {
+      delta.mRemoved.push_back(id);
+    }
+  }
+  mRevision = std::max(mRevision, aChanges.mRevision);
+  mLastComplete = aNow;
+  return delta;
+}
+
+std::optional<directory_delta>
+leaf_directory::Settle(model::instant aNow)
+{
+  if (mMissing.empty() || KeepsMissing(aNow)) {
+    return std::nullopt;
+  }
+  directory_delta delta{ mRevision, mRevision, {}, {} };
+  for (const auto& [id, revision] : mMissing) {
+    if (Remove(id, revision)) {
+      delta.mRemoved.push_back(id);
+    }
+  }
+  mMissing.clear();
+  return delta;
+}
+
 bool
 leaf_directory::OnDelta(const directory_delta& aDelta, model::instant aNow)
 {
@@ -80,13 +147,7 @@
     Put(entry);
   }
   for (const std::string& id : aDelta.mRemoved) {
-    const auto found = mEntries.find(id);
-    if (found != mEntries.end() &&
-        found->second.mRevision <= aDelta.mRevision) {
-      mEntries.erase(found);
-      mPending.mRemoved.push_back(id);
-      mGone[id] = aDelta.mRevision;
-    }
+    Remove(id, aDelta.mRevision);
   }
   if (mRevision == 0 || aDelta.mSince > mRevision) {
     return false;
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -40,8 +40,13 @@
    * than what is known. */
   std::optional<directory_delta> OnRead(const directory_read& aRead,
                                         model::instant aNow);
-  /** @return Whether the directory is complete up to the delta's revision. */
+  /** What a peer tells. @return Whether all is known up to its revision. */
   bool OnDelta(const directory_delta& aDelta, model::instant aNow);
+  /** What a watch brought. @return What changed, to be told to peers. */
+  directory_delta OnWatch(const directory_delta& aChanges, model::instant aNow);
+  /** Removes what is still missing when the time to return is over.
+   * @return As OnRead, if anything went. */
+  std::optional<directory_delta> Settle(model::instant aNow);
 
   /** Entries that changed and ids that went since the last call. */
   struct changes
@@ -59,10 +64,12 @@
 private:
   bool Put(const leaf_entry& aEntry);
   bool KeepsMissing(model::instant aNow);
+  bool Remove(const std::string& aId, std::uint64_t aRevision);
 
   directory_terms mTerms;
   std::map<std::string, leaf_entry> mEntries;
   std::map<std::string, std::uint64_t> mGone; ///< Revision at which it was so.
+  std::map<std::string, std::uint64_t> mMissing; ///< Likewise; not believed yet.
   std::uint64_t mRevision = 0;
   std::optional<model::instant> mLastComplete;
   std::optional<model::instant> mStoreBack; ///< When it returned.
