Registrations that return after a store's outage are known to all instances; the time to return begins at any word of the store

Cause: an instance that heard of the store from a peer did not begin the time to return, and removed what was missing; peers were not told of returned registrations whose leaf had not changed, and removed them when the time was over. Ruled out: leaves that did not register again (they did, within 0.3 s).

--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -17,11 +17,13 @@
 } // namespace
 
 bool
-leaf_directory::Put(const leaf_entry& aEntry)
+leaf_directory::Put(const leaf_entry& aEntry, std::uint64_t aSeenAt)
 {
   const auto gone = mGone.find(aEntry.mId);
   if (gone != mGone.end()) {
-    if (gone->second >= aEntry.mRevision) {
+    // A registration that lapsed with the store and returned may have the
+    // revision that it had.
+    if (gone->second > aSeenAt) {
       return false;
     }
     mGone.erase(gone);
@@ -34,7 +36,8 @@
     const bool same = place->second.SameLeaf(aEntry);
     place->second = aEntry;
     if (same) {
-      return false;
+      // Peers need the revision still: it shows that the leaf is there.
+      return true;
     }
   }
   mPending.mChanged.push_back(aEntry);
@@ -44,6 +47,7 @@
 bool
 leaf_directory::KeepsMissing(model::instant aNow)
 {
+  // The first word after a long silence begins the time to return.
   if (mLastComplete && aNow - *mLastComplete > mTerms.mAwayAfter) {
     mStoreBack = aNow;
   }
@@ -80,7 +84,7 @@
   std::set<std::string> present;
   for (const leaf_entry& entry : aRead.mEntries) {
     present.insert(entry.mId);
-    if (Put(entry)) {
+    if (Put(entry, aRead.mRevision)) {
       delta.mChanged.push_back(entry);
     }
   }
@@ -108,7 +112,7 @@
   const bool keeps = KeepsMissing(aNow);
   directory_delta delta{ mRevision, aChanges.mRevision, {}, {} };
   for (const leaf_entry& entry : aChanges.mChanged) {
-    if (Put(entry)) {
+    if (Put(entry, aChanges.mRevision)) {
       delta.mChanged.push_back(entry);
     }
   }
@@ -144,7 +148,7 @@
 leaf_directory::OnDelta(const directory_delta& aDelta, model::instant aNow)
 {
   for (const leaf_entry& entry : aDelta.mChanged) {
-    Put(entry);
+    Put(entry, aDelta.mRevision);
   }
   for (const std::string& id : aDelta.mRemoved) {
     Remove(id, aDelta.mRevision);
@@ -153,6 +157,7 @@
     return false;
   }
   if (aDelta.mRevision >= mRevision) {
+    KeepsMissing(aNow); // A peer may be the first to hear of the store again.
     mRevision = aDelta.mRevision;
     mLastComplete = aNow;
   }
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -62,7 +62,8 @@
   std::size_t Size() const { return mEntries.size(); }
 
 private:
-  bool Put(const leaf_entry& aEntry);
+  /** @param aSeenAt Revision of the store at which it was there. */
+  bool Put(const leaf_entry& aEntry, std::uint64_t aSeenAt);
   bool KeepsMissing(model::instant aNow);
   bool Remove(const std::string& aId, std::uint64_t aRevision);
 
