--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -218,11 +218,11 @@
   if (mExchange) {
     return;
   }
-  if (mReader.State() == http_reader::state::Head &&
-      waited > limits.mHeaderTimeout) {
-    Refuse(408);
-  } else if (mReader.State() == http_reader::state::Body &&
-             waited > kBodyTimeout) {
+  const bool slowHead = mReader.State() == http_reader::state::Head &&
+                        waited > limits.mHeaderTimeout;
+  const bool slowBody =
+    mReader.State() == http_reader::state::Body && waited > kBodyTimeout;
+  if (slowHead || slowBody) {
     Refuse(408);
   } else if (Idle() && waited > limits.mIdleTimeout) {
     CloseGently();
--- a/src/gateway/http_reader.cpp
+++ b/src/gateway/http_reader.cpp
@@ -113,8 +113,7 @@
       self.mMessage.mMethod =
         http_method_str(static_cast<http_method>(aParser->method));
     } else {
-      self.mMessage.mEndsWithStream =
-        http_message_needs_eof(aParser) != 0 && !self.mNoBody;
+      self.mMessage.mEndsWithStream = NeedsEnd(aParser) != 0 && !self.mNoBody;
     }
     const bool hasLength =
       aParser->content_length != std::numeric_limits<std::uint64_t>::max();
@@ -145,7 +144,7 @@
   }
 
   /** Needed while the library decides whether the body ends with the stream. */
-  static int http_message_needs_eof(const ::http_parser* aParser)
+  static int NeedsEnd(const ::http_parser* aParser)
   {
     const bool bodyless = aParser->status_code / 100 == 1 ||
                           aParser->status_code == 204 ||
@@ -160,11 +159,11 @@
 http_reader::http_reader(role aRole)
   : mParser(std::make_unique<parser>())
 {
-  static const bool sLimitSet = [] {
+  static const bool kLimitSet = [] {
     http_parser_set_max_header_size(kMostHeadBytes);
     return true;
   }();
-  static_cast<void>(sLimitSet);
+  static_cast<void>(kLimitSet);
   http_parser_init(&mParser->mParser,
                    aRole == role::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
   mParser->mParser.data = mParser.get();
--- a/src/gateway/leaf_peer.cpp
+++ b/src/gateway/leaf_peer.cpp
@@ -13,6 +13,13 @@
 
 namespace monsooncroft::gateway {
 
+namespace {
+
+/** No further connection is tried for so long at a leaf at its limit. */
+constexpr std::chrono::milliseconds kCapPause{ 1'000 };
+
+} // namespace
+
 leaf_peer::leaf_peer(event_loop& aLoop,
                      const header_names& aNames,
                      leaf_observer& aObserver,
@@ -112,7 +119,7 @@
     });
   if (static_cast<std::size_t>(connecting) < mWaiting.size() &&
       mLinks.size() < std::max<std::size_t>(1, mShare) && !mRetired &&
-      !mLoad.Refuses(aNow)) {
+      !mLoad.Refuses(aNow) && aNow >= mCappedUntil) {
     Open(aNow);
   }
 }
@@ -204,11 +211,19 @@
   if (std::strcmp(aReason, "idle") != 0) {
     mObserver.OnLinkLost(*this, aReason);
   }
-  if (aRefused) {
-    mLoad.OnRefused(event_loop::Now());
-    if (mLinks.empty()) {
-      FailWaiting(aReason);
-    }
+  if (!aRefused) {
+    return;
+  }
+  const model::instant now = event_loop::Now();
+  if (Connected()) {
+    // The leaf is there, but accepts no more: others hold its connections, or
+    // machines without power still seem to.
+    mCappedUntil = now + kCapPause;
+    return;
+  }
+  mLoad.OnRefused(now);
+  if (mLinks.empty()) {
+    FailWaiting(aReason);
   }
 }
 
@@ -228,6 +243,14 @@
   }
 }
 
+bool
+leaf_peer::Connected() const
+{
+  return std::any_of(mLinks.begin(), mLinks.end(), [](const auto& aLink) {
+    return !aLink->Connecting();
+  });
+}
+
 bool
 leaf_peer::Has(const leaf_link& aLink) const
 {
--- a/src/gateway/leaf_peer_base.h
+++ b/src/gateway/leaf_peer_base.h
@@ -71,6 +71,7 @@
   void Open(model::instant aNow);
   bool TakeWaiting(leaf_link& aLink, model::instant aNow);
   void DropExpired(model::instant aNow);
+  bool Connected() const; ///< Any connection stands.
 
   event_loop& mLoop;
   const header_names& mNames;
@@ -80,6 +81,7 @@
   std::size_t mShare = 1;
   bool mMisdirected = false; ///< Another leaf answers at its address.
   bool mRetired = false;
+  model::instant mCappedUntil;
   std::vector<std::unique_ptr<leaf_link>> mLinks;
   std::deque<leaf_attempt_ptr> mWaiting; ///< Earliest due first.
 };
--- a/src/gateway/leaf_table.cpp
+++ b/src/gateway/leaf_table.cpp
@@ -88,9 +88,9 @@
 const leaf_table::leaf_list&
 leaf_table::Of(const std::string& aService) const
 {
-  static const leaf_list sNone;
+  static const leaf_list kNone;
   const auto found = mByService.find(aService);
-  return found == mByService.end() ? sNone : found->second;
+  return found == mByService.end() ? kNone : found->second;
 }
 
 leaf_peer*
--- a/src/gateway/query_run.cpp
+++ b/src/gateway/query_run.cpp
@@ -63,7 +63,7 @@
     mContext.mBudget.OnRequest(service, now);
   }
   if (mParts.size() - LeaveOutLate(now) < mTerms.mLeast) {
-    mLastReason = "no leaf";
+    mLastReason = "too few shards in reach";
     GiveUp(now);
     return;
   }
@@ -86,7 +86,7 @@
   expected.reserve(mParts.size());
   for (std::size_t place = 0; place < mParts.size(); ++place) {
     const leaf_peer* leaf = Choose(place, false, aNow);
-    without += leaf == nullptr ? 1 : 0;
+    without += leaf == nullptr || leaf->Load().Lost(aNow) ? 1 : 0;
     expected.push_back(leaf == nullptr ? model::duration::max()
                                        : leaf->Load().ExpectedLatency(
                                            mPlan.mLatency->Mean(), aNow));
--- a/src/gateway/query_run_base.h
+++ b/src/gateway/query_run_base.h
@@ -52,7 +52,7 @@
     http_message mAnswer;
   };
 
-  /** @return Shards for which there is no leaf. */
+  /** @return Shards of which no leaf is in reach. */
   std::size_t LeaveOutLate(model::instant aNow);
   bool TakeUpOmitted(model::instant aNow);
   void Lose(std::size_t aPart, model::instant aNow);
--- a/src/serving/leaf_load.cpp
+++ b/src/serving/leaf_load.cpp
@@ -25,6 +25,9 @@
 constexpr model::duration kLeastRoundTrip{ 100 }; ///< Within a data centre.
 /** Longer than a leaf's usual pauses: it does not answer at all. */
 constexpr std::chrono::milliseconds kLongOverdue{ 500 };
+/** An attempt that ends after such a time without any answer of the leaf in it
+ * shows that the leaf, or the way to it, is gone: longer than its pauses. */
+constexpr std::chrono::milliseconds kLongSilence{ 300 };
 /** Pauses between tries of a leaf that refuses, doubled each time. */
 constexpr std::chrono::milliseconds kFirstRefusal{ 150 };
 constexpr std::chrono::milliseconds kLongestRefusal{ 1'000 };
@@ -68,6 +71,11 @@
                      model::instant aNow)
 {
   Forget(aQueued);
+  const bool silent = !mLastAnswer || *mLastAnswer < aQueued;
+  if (aAtLeast && *aAtLeast > kLongSilence && silent) {
+    mConnected = false;
+    mFailed = true;
+  }
   if (aAtLeast && *aAtLeast - aUsualWork > Excess(aNow)) {
     Learn(*aAtLeast - aUsualWork, aNow);
   }
@@ -81,6 +89,8 @@
 {
   Forget(aQueued);
   mLastAnswer = aNow;
+  mConnected = true;
+  mFailed = false;
   mRefusals = 0;
   mRefusesUntil = model::instant();
   mPeerSuspectUntil = model::instant();
@@ -96,6 +106,7 @@
     kFirstRefusal * (1 << std::min(mRefusals, 4)), kLongestRefusal);
   ++mRefusals;
   mConnected = false;
+  mFailed = true;
   mRefusesUntil = aNow + pause;
 }
 
@@ -103,6 +114,7 @@
 leaf_load::OnConnected(model::duration aRoundTrip, model::instant /*aNow*/)
 {
   mConnected = true;
+  mFailed = false;
   // A connection that waited for a free slot tells no way; the shortest does.
   const auto known = mRoundTrip.count() == 0 ? aRoundTrip : mRoundTrip;
   mRoundTrip = std::max(std::min(known, aRoundTrip), kLeastRoundTrip);
@@ -137,11 +149,18 @@
   return mConnected && !SeenStandingStill(kLongOverdue / kOverdueFactor, aNow);
 }
 
+bool
+leaf_load::Lost(model::instant aNow) const
+{
+  return mFailed ||
+         (mConnected && SeenStandingStill(kLongOverdue / kOverdueFactor, aNow));
+}
+
 bool
 leaf_load::SeenStandingStill(model::duration aUsualWork,
                              model::instant aNow) const
 {
-  if (Refuses(aNow)) {
+  if (Refuses(aNow) || mFailed) {
     return true;
   }
   if (mOutstanding.empty()) {
--- a/src/serving/leaf_load_base.h
+++ b/src/serving/leaf_load_base.h
@@ -58,6 +58,9 @@
   bool SeenStandingStill(model::duration aUsualWork, model::instant aNow) const;
   /** A connection stands, and no answer is long overdue. */
   bool Answers(model::instant aNow) const;
+  /** It does not answer: connections failed or an attempt went unanswered for
+   * long, and nothing has come from it since. */
+  bool Lost(model::instant aNow) const;
   /** It refused connections a moment ago. */
   bool Refuses(model::instant aNow) const { return aNow < mRefusesUntil; }
   model::instant RefusesUntil() const { return mRefusesUntil; }
@@ -81,7 +84,8 @@
   model::instant mRefusesUntil;
   model::instant mPeerSuspectUntil;
   int mRefusals = 0;       ///< In a row.
-  bool mConnected = false; ///< Once, and not refused since.
+  bool mConnected = false; ///< Once, and it has not failed since.
+  bool mFailed = false;    ///< Without a sign of life since.
 };
 
 /**
