--- a/src/gateway/leaf_link.cpp
+++ b/src/gateway/leaf_link.cpp
@@ -226,9 +226,12 @@
   if (mState == state::Closed) {
     return;
   }
-  // A leaf at its limit of connections accepts further ones and resets them.
-  const bool refused =
-    mState == state::Connecting || (aEnd == attempt_end::Lost && !mServed);
+  link_end end = link_end::Ended;
+  if (mState == state::Connecting) {
+    end = link_end::Refused;
+  } else if (aEnd == attempt_end::Lost && !mServed) {
+    end = link_end::Capped;
+  }
   mState = state::Closed;
   mSince = event_loop::Now();
   const leaf_attempt_ptr attempt = std::move(mAttempt);
@@ -240,7 +243,7 @@
   if (attempt) {
     mLeaf.OnAttemptDone(*attempt, aEnd, mSince);
   }
-  mLeaf.OnLinkClosed(*this, refused, aReason);
+  mLeaf.OnLinkClosed(*this, end, aReason);
   if (attempt) {
     attempt->End({ aEnd, {}, aReason });
   }
--- a/src/gateway/leaf_link_base.h
+++ b/src/gateway/leaf_link_base.h
@@ -39,6 +39,11 @@
   bool Usable(model::instant aNow) const;
   bool Closed() const { return mState == state::Closed; }
   bool Busy() const { return mState == state::Busy; }
+  /** Time without a request; none while it has one. */
+  model::duration IdleFor(model::instant aNow) const
+  {
+    return mState == state::Idle ? aNow - mSince : model::duration(0);
+  }
   void Send(const leaf_attempt_ptr& aAttempt, model::instant aNow);
   void OnTick(model::instant aNow);
   void Close(attempt_end aEnd, const char* aReason);
--- a/src/gateway/leaf_peer.cpp
+++ b/src/gateway/leaf_peer.cpp
@@ -18,6 +18,9 @@
 /** No further connection is tried for so long at a leaf at its limit. */
 constexpr std::chrono::milliseconds kCapPause{ 1'000 };
 
+/** A connection beyond the own share is given back after such a time. */
+constexpr std::chrono::milliseconds kReserveIdle{ 500 };
+
 } // namespace
 
 leaf_peer::leaf_peer(event_loop& aLoop,
@@ -150,12 +153,29 @@
     Retire();
     return;
   }
-  if (aWarm && mLinks.empty() && TakesWork() && !mLoad.Refuses(aNow)) {
+  if (mShare == 0) {
+    CloseReserve(aNow);
+  }
+  if (aWarm && mLinks.empty() && TakesWork(aNow) && !mLoad.Refuses(aNow)) {
     Open(aNow);
   }
   Dispatch(aNow);
 }
 
+void
+leaf_peer::CloseReserve(model::instant aNow)
+{
+  std::vector<leaf_link*> idle;
+  for (const auto& link : mLinks) {
+    if (link->IdleFor(aNow) > kReserveIdle) {
+      idle.push_back(link.get());
+    }
+  }
+  for (leaf_link* link : idle) {
+    link->Close(attempt_end::NotSent, "idle");
+  }
+}
+
 void
 leaf_peer::Retire()
 {
@@ -197,7 +217,7 @@
 }
 
 void
-leaf_peer::OnLinkClosed(leaf_link& aLink, bool aRefused, const char* aReason)
+leaf_peer::OnLinkClosed(leaf_link& aLink, link_end aEnd, const char* aReason)
 {
   const auto place =
     std::find_if(mLinks.begin(), mLinks.end(), [&](const auto& aOwned) {
@@ -211,18 +231,14 @@
   if (std::strcmp(aReason, "idle") != 0) {
     mObserver.OnLinkLost(*this, aReason);
   }
-  if (!aRefused) {
-    return;
-  }
   const model::instant now = event_loop::Now();
-  if (Connected()) {
-    // The leaf is there, but accepts no more: others hold its connections, or
-    // machines without power still seem to.
+  if (aEnd == link_end::Capped) {
+    // Others hold its connections, or machines without power seem to.
     mCappedUntil = now + kCapPause;
-    return;
+  } else if (aEnd == link_end::Refused) {
+    mLoad.OnRefused(now);
   }
-  mLoad.OnRefused(now);
-  if (mLinks.empty()) {
+  if (aEnd != link_end::Ended && mLinks.empty()) {
     FailWaiting(aReason);
   }
 }
@@ -243,14 +259,6 @@
   }
 }
 
-bool
-leaf_peer::Connected() const
-{
-  return std::any_of(mLinks.begin(), mLinks.end(), [](const auto& aLink) {
-    return !aLink->Connecting();
-  });
-}
-
 bool
 leaf_peer::Has(const leaf_link& aLink) const
 {
--- a/src/gateway/leaf_peer_base.h
+++ b/src/gateway/leaf_peer_base.h
@@ -20,6 +20,15 @@
 class leaf_observer;
 struct header_names;
 
+/** What a connection's end tells of its leaf. */
+enum class link_end : std::uint8_t
+{
+  Refused, ///< It could not be made.
+  Capped,  ///< It was made but never of use: a leaf at its limit of
+           ///< connections accepts further ones and resets them.
+  Ended,   ///< It had been of use.
+};
+
 /** A leaf's registration, load, connections and the attempts that wait. */
 class leaf_peer
 {
@@ -40,7 +49,11 @@
   void SetShare(std::size_t aLinks) { mShare = aLinks; }
   std::size_t Share() const { return mShare; }
   /** It may be given new work. */
-  bool TakesWork() const { return !mEntry.mDraining && !mMisdirected; }
+  bool TakesWork(model::instant aNow) const
+  {
+    const bool capped = aNow < mCappedUntil && mLinks.empty();
+    return !mEntry.mDraining && !mMisdirected && !capped;
+  }
   serving::leaf_load& Load() { return mLoad; }
   const serving::leaf_load& Load() const { return mLoad; }
   std::size_t Waiting() const { return mWaiting.size(); }
@@ -59,8 +72,7 @@
 
   // For the links.
   void OnLinkConnected(model::duration aRoundTrip, model::instant aNow);
-  /** @param aRefused It was never of use. */
-  void OnLinkClosed(leaf_link& aLink, bool aRefused, const char* aReason);
+  void OnLinkClosed(leaf_link& aLink, link_end aEnd, const char* aReason);
   void OnAttemptDone(const leaf_attempt& aAttempt,
                      attempt_end aEnd,
                      model::instant aNow);
@@ -71,7 +83,7 @@
   void Open(model::instant aNow);
   bool TakeWaiting(leaf_link& aLink, model::instant aNow);
   void DropExpired(model::instant aNow);
-  bool Connected() const; ///< Any connection stands.
+  void CloseReserve(model::instant aNow);
 
   event_loop& mLoop;
   const header_names& mNames;
--- a/src/gateway/leaf_table.cpp
+++ b/src/gateway/leaf_table.cpp
@@ -146,7 +146,7 @@
       const leaf_list& leaves = Of(aName);
       return std::any_of(
         leaves.begin(), leaves.end(), [&](const leaf_peer_ptr& aLeaf) {
-          return aLeaf->TakesWork() && aLeaf->Load().Answers(aNow);
+          return aLeaf->TakesWork(aNow) && aLeaf->Load().Answers(aNow);
         });
     });
   return static_cast<double>(reached) / static_cast<double>(aServices.size());
--- a/src/gateway/query_run.cpp
+++ b/src/gateway/query_run.cpp
@@ -143,7 +143,7 @@
     bool any = false;
     for (std::size_t place = 0; place < leaves.size(); ++place) {
       const leaf_peer& leaf = *leaves[place];
-      if (leaf.TakesWork() && aMay(leaf)) {
+      if (leaf.TakesWork(aNow) && aMay(leaf)) {
         candidates[place] = &leaf.Load();
         any = any || !leaf.Load().Refuses(aNow);
       }
--- a/test/gateway/fake_leaf.h
+++ b/test/gateway/fake_leaf.h
@@ -62,6 +62,7 @@
       }
     }
     void Close() { mStream.reset(); }
+    bool Ended() const { return !mStream; }
     void Reset()
     {
       if (mStream) {
