Requests that kill leaves are quarantined on the asynchronous path, by the product's death watch and quarantine

A connection that dies under a request raises a suspicion; a refused connection or a new incarnation confirms it; two deaths refuse the request at every instance.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -17,6 +17,8 @@
 
 /** Failures in a row after which others take over this one's duties. */
 constexpr int kFailuresToYield = 2;
+/** Deaths told in each round besides the news, so that it fits a datagram. */
+constexpr std::size_t kMostDeathsTold = 3;
 /** Cheap reads that were old are taken to be so for this long. */
 constexpr std::chrono::milliseconds kFreshFor{ 2'500 };
 
@@ -80,6 +82,8 @@
   message.mMembers = mFleet.Told();
   message.mWantsReply = aWantsReply;
   message.mSuspects = mHooks.mSuspects();
+  message.mDeaths = mHooks.mDeaths();
+  message.mDeaths.resize(std::min(message.mDeaths.size(), kMostDeathsTold));
   return message;
 }
 
@@ -98,13 +102,11 @@
 }
 
 void
-control_plane::TellSuspects(
-  const std::vector<serving::leaf_suspicion>& aSuspects,
-  model::instant aNow)
+control_plane::TellDeath(const once::death_mark& aMark, model::instant aNow)
 {
   serving::fleet_message message;
   message.mMembers = { mFleet.Self() };
-  message.mSuspects = aSuspects;
+  message.mDeaths = { aMark };
   TellAll(message, aNow);
 }
 
@@ -137,6 +139,9 @@
   for (const serving::leaf_suspicion& suspicion : message->mSuspects) {
     mHooks.mOnSuspicion(suspicion);
   }
+  for (const once::death_mark& death : message->mDeaths) {
+    mHooks.mOnDeath(death);
+  }
   for (const serving::directory_delta& delta : message->mDeltas) {
     const bool complete = mDirectory.OnDelta(delta, now);
     ApplyLeaves();
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -40,6 +40,8 @@
     std::function<void(const serving::leaf_directory::changes&)> mOnLeaves;
     std::function<void(const serving::leaf_suspicion&)> mOnSuspicion;
     std::function<std::vector<serving::leaf_suspicion>()> mSuspects;
+    std::function<void(const once::death_mark&)> mOnDeath;
+    std::function<std::vector<once::death_mark>()> mDeaths;
   };
 
   control_plane(event_loop& aLoop,
@@ -68,9 +70,8 @@
   const serving::leaf_directory& Directory() const { return mDirectory; }
   const serving::routing_config_ptr& Config() const { return mConfig; }
   bool ConfigCertain(model::instant aNow) const;
-  /** Tells all peers at once of leaves that stand still. */
-  void TellSuspects(const std::vector<serving::leaf_suspicion>& aSuspects,
-                    model::instant aNow);
+  /** Tells all peers at once that a leaf has died with a request. */
+  void TellDeath(const once::death_mark& aMark, model::instant aNow);
 
 private:
   /** Waits between calls that fail. */
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -59,6 +59,21 @@
   return { std::move(self), aSettings.mSeeds, {}, seed };
 }
 
+/** Requests go as usual until a leaf has died with one of their content. */
+once::quarantine_settings
+QuarantineSettings()
+{
+  once::quarantine_settings settings;
+  settings.mScreening = once::screening::Never;
+  return settings;
+}
+
+model::wall_instant
+WallNow()
+{
+  return model::wall_instant(std::chrono::milliseconds(WallMs()));
+}
+
 /** From 0 to 1, different for each instance. */
 double
 OffsetOf(const std::string& aName)
@@ -81,6 +96,7 @@
   , mMetrics(aMetrics)
   , mSink(std::move(aSink))
   , mBudget(mSettings.mBudget)
+  , mQuarantine(QuarantineSettings())
   , mLeaves(aLoop,
             mSettings.mNames,
             *this,
@@ -90,6 +106,7 @@
             mSettings.mNames,
             mLeaves,
             mBudget,
+            mQuarantine,
             mSettings.mQuery,
             aLog,
             aMetrics },
@@ -142,6 +159,10 @@
         event_loop::Now() + std::chrono::milliseconds(aSuspicion.mForMs));
     }
   };
+  hooks.mOnDeath = [this](const once::death_mark& aMark) {
+    mQuarantine.Merge(aMark, WallNow());
+  };
+  hooks.mDeaths = [this] { return mQuarantine.Export(WallNow()); };
   hooks.mSuspects = [this] {
     return mLeaves.Suspects(kAnyWork, event_loop::Now());
   };
@@ -172,6 +193,7 @@
 void
 entry_instance::OnRound(model::instant aNow)
 {
+  mQuarantine.OnTimer(WallNow());
   mControl.OnRound(aNow);
   const std::size_t instances = mControl.Fleet().CountedInstances(aNow);
   mBudget.SetInstances(instances);
@@ -268,6 +290,20 @@
   mMetrics.Count("leaf_connections_opened");
 }
 
+void
+entry_instance::OnLeafDied(const leaf_peer& aLeaf,
+                           const once::suspicion& aSuspicion)
+{
+  const once::death_mark mark = mQuarantine.Confirm(aSuspicion, WallNow());
+  mMetrics.Count("leaf_deaths");
+  mLog.Write(ops::log_level::Warning,
+             "leaf_died",
+             { { "leaf", aLeaf.Entry().mId },
+               { "service", aLeaf.Entry().mService },
+               { "content", once::ToHex(aSuspicion.mContent) } });
+  mControl.TellDeath(mark, event_loop::Now());
+}
+
 void
 entry_instance::OnLinkLost(const leaf_peer& aLeaf, const char* aReason)
 {
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -39,6 +39,8 @@
   void Apply(const instance_settings& aSettings);
 
   void OnLinkOpened(const leaf_peer& aLeaf) override;
+  void OnLeafDied(const leaf_peer& aLeaf,
+                  const once::suspicion& aSuspicion) override;
   void OnLinkLost(const leaf_peer& aLeaf, const char* aReason) override;
   /** Readiness, metrics and status. */
   void OnRequest(const exchange_ptr& aExchange) override;
@@ -57,6 +59,7 @@
   ops::metrics& mMetrics;
   std::shared_ptr<ops::bounded_sink> mSink;
   serving::extra_budget mBudget;
+  once::quarantine mQuarantine;
   leaf_table mLeaves;
   query_desk mDesk;
   control_plane mControl;
--- a/src/gateway/leaf_attempt_type.h
+++ b/src/gateway/leaf_attempt_type.h
@@ -7,6 +7,7 @@
 
 #include "gateway/http_message_type.h"
 #include "model/time_type.h"
+#include "once/request_key_type.h"
 
 #include <cstdint>
 #include <memory>
@@ -55,6 +56,7 @@
   std::string mBody;
   std::string mRequestId;
   bool mNoBodyExpected = false; ///< HEAD.
+  once::content_hash mContent;  ///< The same for each time that it is asked.
 };
 
 /** Shared by the leaf's link and the request that it serves. */
--- a/src/gateway/leaf_link.cpp
+++ b/src/gateway/leaf_link.cpp
@@ -216,6 +216,9 @@
       }
     }
   }
+  if (mAttempt) {
+    mLeaf.OnDiedWith(*mAttempt, event_loop::Now());
+  }
   Close(attempt_end::Lost,
         aEnd == stream_end::Finished ? "closed by the leaf" : "reset");
 }
--- a/src/gateway/leaf_peer.cpp
+++ b/src/gateway/leaf_peer.cpp
@@ -31,7 +31,9 @@
   , mNames(aNames)
   , mObserver(aObserver)
   , mEntry(std::move(aEntry))
+  , mDeaths(model::leaf_id(mEntry.mId))
 {
+  Settle(mDeaths.OnBoot(std::to_string(mEntry.mBorn)));
   const model::instant now = event_loop::Now();
   mLoad.SetColdUntil(now + std::chrono::milliseconds(mEntry.mColdMs));
 }
@@ -45,6 +47,7 @@
     aEntry.mBorn != mEntry.mBorn || aEntry.mAddress != mEntry.mAddress;
   mEntry = aEntry;
   mLoad.SetColdUntil(aNow + std::chrono::milliseconds(aEntry.mColdMs));
+  Settle(mDeaths.OnBoot(std::to_string(aEntry.mBorn)));
   if (!reborn) {
     return;
   }
@@ -139,6 +142,7 @@
 leaf_peer::OnTick(bool aWarm, model::instant aNow)
 {
   DropExpired(aNow);
+  Settle(mDeaths.OnTimer(aNow));
   std::vector<leaf_link*> links;
   links.reserve(mLinks.size());
   for (const auto& link : mLinks) {
@@ -162,6 +166,22 @@
   Dispatch(aNow);
 }
 
+void
+leaf_peer::OnDiedWith(const leaf_attempt& aAttempt, model::instant aNow)
+{
+  mProbes = true; // A new connection tells whether the leaf is there.
+  mDeaths.OnConnectionDied(
+    aAttempt.mText->mContent, model::service_id(mEntry.mService), aNow);
+}
+
+void
+leaf_peer::Settle(const once::settled_suspicions& aSettled)
+{
+  for (const once::suspicion& confirmed : aSettled.mConfirmed) {
+    mObserver.OnLeafDied(*this, confirmed);
+  }
+}
+
 void
 leaf_peer::CloseReserve(model::instant aNow)
 {
@@ -212,6 +232,7 @@
 void
 leaf_peer::OnLinkConnected(model::duration aRoundTrip, model::instant aNow)
 {
+  mProbes = false;
   mLoad.OnConnected(aRoundTrip, aNow);
   Dispatch(aNow);
 }
@@ -234,9 +255,13 @@
   const model::instant now = event_loop::Now();
   if (aEnd == link_end::Capped) {
     // Others hold its connections, or machines without power seem to.
-    mCappedUntil = now + kCapPause;
+    if (!mProbes) {
+      mCappedUntil = now + kCapPause;
+    }
   } else if (aEnd == link_end::Refused) {
+    mProbes = false;
     mLoad.OnRefused(now);
+    Settle(mDeaths.OnRefused());
   }
   if (aEnd != link_end::Ended && mLinks.empty()) {
     FailWaiting(aReason);
--- a/src/gateway/leaf_peer_base.h
+++ b/src/gateway/leaf_peer_base.h
@@ -6,6 +6,7 @@
 #define MONSOONCROFT_GATEWAY_LEAF_PEER_BASE_H
 
 #include "gateway/leaf_attempt_type.h"
+#include "once/death_watch_base.h"
 #include "serving/leaf_entry_type.h"
 #include "serving/leaf_load_base.h"
 
@@ -76,6 +77,8 @@
   void OnAttemptDone(const leaf_attempt& aAttempt,
                      attempt_end aEnd,
                      model::instant aNow);
+  /** A connection died under a request: the leaf may have. */
+  void OnDiedWith(const leaf_attempt& aAttempt, model::instant aNow);
   void OnMisdirected() { mMisdirected = true; }
   bool Has(const leaf_link& aLink) const;
 
@@ -84,6 +87,7 @@
   bool TakeWaiting(leaf_link& aLink, model::instant aNow);
   void DropExpired(model::instant aNow);
   void CloseReserve(model::instant aNow);
+  void Settle(const once::settled_suspicions& aSettled);
 
   event_loop& mLoop;
   const header_names& mNames;
@@ -93,6 +97,8 @@
   std::size_t mShare = 1;
   bool mMisdirected = false; ///< Another leaf answers at its address.
   bool mRetired = false;
+  bool mProbes = false; ///< A connection died under a request.
+  once::death_watch mDeaths;
   model::instant mCappedUntil;
   std::vector<std::unique_ptr<leaf_link>> mLinks;
   std::deque<leaf_attempt_ptr> mWaiting; ///< Earliest due first.
@@ -112,6 +118,9 @@
   leaf_observer& operator=(leaf_observer&&) = delete;
 
   virtual void OnLinkOpened(const leaf_peer& aLeaf) = 0;
+  /** The leaf died with a request that may have killed it. */
+  virtual void OnLeafDied(const leaf_peer& aLeaf,
+                          const once::suspicion& aSuspicion) = 0;
   /** @param aReason In few words. */
   virtual void OnLinkLost(const leaf_peer& aLeaf, const char* aReason) = 0;
 };
--- a/src/gateway/query_desk.cpp
+++ b/src/gateway/query_desk.cpp
@@ -78,6 +78,19 @@
   aExchange->Respond(response);
 }
 
+once::passage
+query_desk::Passage(const http_message& aRequest,
+                    const std::string& aHost) const
+{
+  if (mContext.mQuarantine.Marks() == 0) {
+    return once::passage::Free;
+  }
+  const auto wall = std::chrono::time_point_cast<std::chrono::milliseconds>(
+    std::chrono::system_clock::now());
+  return mContext.mQuarantine.Admit(
+    ContentOf(aRequest), model::service_id(aHost), wall);
+}
+
 void
 query_desk::OnRequest(const exchange_ptr& aExchange)
 {
@@ -99,6 +112,10 @@
   if (id == nullptr || id->empty()) {
     return Refuse(aExchange, 400, "no request id");
   }
+  const once::passage passage = Passage(request, *host);
+  if (passage == once::passage::Refused) {
+    return Refuse(aExchange, 503, once::kReasonQuarantined);
+  }
   std::chrono::milliseconds wait = route->mTimeout;
   if (const auto* left = request.Find(mContext.mNames.mRemainingMs)) {
     long ms = 0;
@@ -118,6 +135,7 @@
   LatencyOf(*route);
   plan.mLatency = mLatencies[route->mName];
   plan.mRequestId = *id;
+  plan.mOnceOnly = passage != once::passage::Free;
   plan.mDeadline = aExchange->Received() + wait;
   std::make_shared<query_run>(mContext, aExchange, std::move(plan))->Start();
 }
--- a/src/gateway/query_desk_base.h
+++ b/src/gateway/query_desk_base.h
@@ -8,6 +8,7 @@
 #include "gateway/exchange_base.h"
 #include "gateway/header_names_type.h"
 #include "gateway/query_settings_type.h"
+#include "once/quarantine_base.h"
 #include "serving/extra_budget_base.h"
 #include "serving/latency_type.h"
 #include "serving/routing_config_base.h"
@@ -32,6 +33,7 @@
   const header_names& mNames;
   leaf_table& mLeaves;
   serving::extra_budget& mBudget;
+  const once::quarantine& mQuarantine;
   const query_settings& mSettings;
   const ops::log& mLog;
   ops::metrics& mMetrics;
@@ -55,6 +57,9 @@
   void Refuse(const exchange_ptr& aExchange,
               int aStatus,
               const char* aReason) const;
+  /** Whether a request that looks like this one has killed leaves. */
+  once::passage Passage(const http_message& aRequest,
+                        const std::string& aHost) const;
   serving::route_latency& LatencyOf(const serving::route& aRoute);
 
   query_context mContext;
--- a/src/gateway/query_run.cpp
+++ b/src/gateway/query_run.cpp
@@ -95,6 +95,7 @@
     expected, mTerms.mAnswerBy - aNow, mTerms.mTotal - mTerms.mLeast);
   for (const std::size_t place : omitted) {
     mParts[place].mOmitted = true;
+    mParts[place].mExpected = expected[place];
     mParts[place].mLost = true;
     ++mLostParts;
     ++mOmitted;
@@ -310,7 +311,7 @@
   if (shard.mSends == 0) {
     return true;
   }
-  return shard.mSends < route.mMaxAttempts &&
+  return shard.mSends < route.mMaxAttempts && !mPlan.mOnceOnly &&
          mContext.mBudget.TryTake(mPlan.mServices[aPart],
                                   serving::extra_budget::purpose::Failure,
                                   aNow);
@@ -323,7 +324,7 @@
   shard.mHedgeAt = mTerms.mDeadline;
   const serving::route& route = *mPlan.mRoute;
   if (route.mRepeatability == serving::repeatability::RunOnce ||
-      shard.mSends >= route.mMaxAttempts) {
+      mPlan.mOnceOnly || shard.mSends >= route.mMaxAttempts) {
     return;
   }
   leaf_peer* leaf = Choose(aPart, true, aNow);
@@ -487,7 +488,21 @@
       { "omitted", static_cast<long>(mOmitted) },
       { "missing", MissingText() },
       { "reason", std::string(mLastReason) } });
-  mContext.mMetrics.Count("requests", { { "outcome", aOutcome } });
+  mContext.mMetrics.Count("requests",
+                          { { "route", mPlan.mRoute->mName },
+                            { "outcome", aOutcome },
+                            { "reason", mLastReason } });
+  ops::query_figures figures;
+  figures.mLatency = took;
+  figures.mCoverage =
+    static_cast<double>(mAnswered) / static_cast<double>(mParts.size());
+  figures.mAttempts = mSends;
+  figures.mLeastAttempts = static_cast<int>(mParts.size());
+  figures.mStatus = aOutcome;
+  mContext.mMetrics.RecordQuery({ model::service_id(mPlan.mServices.front()),
+                                  model::kind_id(mPlan.mRoute->mName),
+                                  model::tenant_id(mPlan.mRoute->mHost) },
+                                figures);
   if (aResponse != nullptr) {
     mExchange->Respond(*aResponse);
   } else {
@@ -509,6 +524,12 @@
       continue;
     }
     text.append(text.empty() ? "" : " ").append(mPlan.mServices[place]);
+    if (mParts[place].mOmitted) {
+      text.append("~").append(
+        std::to_string(
+          std::min<long>(mParts[place].mExpected.count() / 1'000, 99'999)) +
+        "ms");
+    }
     for (const std::string& leaf : mParts[place].mTried) {
       text.append(":").append(leaf);
     }
--- a/src/gateway/query_run_base.h
+++ b/src/gateway/query_run_base.h
@@ -32,6 +32,7 @@
     std::shared_ptr<serving::route_latency> mLatency;
     std::string mRequestId;
     model::instant mDeadline;
+    bool mOnceOnly = false; ///< A leaf died with it: one leaf a shard.
   };
 
   query_run(const query_context& aContext, exchange_ptr aExchange, plan aPlan);
@@ -48,6 +49,7 @@
     bool mAnswered = false;
     bool mLost = false;    ///< No further attempt is possible.
     bool mOmitted = false; ///< Left out so far, because it would be late.
+    model::duration mExpected{ 0 }; ///< Latency for which it was left out.
     model::instant mHedgeAt;
     http_message mAnswer;
   };
--- a/src/gateway/request_head.cpp
+++ b/src/gateway/request_head.cpp
@@ -5,6 +5,7 @@
 #include "gateway/request_head_func.h"
 
 #include "gateway/header_names_type.h"
+#include "model/answer_type.h"
 
 #include <algorithm>
 #include <array>
@@ -71,6 +72,7 @@
 {
   auto text = std::make_shared<request_text>();
   text->mRequestId = aRequestId;
+  text->mContent = ContentOf(aRequest);
   text->mBody = aRequest.mBody;
   text->mNoBodyExpected = aRequest.mMethod == "HEAD";
   std::string& head = text->mHead;
@@ -93,6 +95,17 @@
   return text;
 }
 
+once::content_hash
+ContentOf(const http_message& aRequest)
+{
+  const std::string* host = aRequest.Find("Host");
+  model::query query;
+  query.mService = model::service_id(host == nullptr ? "" : *host);
+  query.mKind = model::kind_id(aRequest.mMethod);
+  query.mBody = aRequest.mTarget + "\n" + aRequest.mBody;
+  return once::HashContent(query);
+}
+
 http_response
 ForwardedAnswer(const http_message& aAnswer)
 {
--- a/src/gateway/request_head_func.h
+++ b/src/gateway/request_head_func.h
@@ -26,6 +26,10 @@
                 const header_names& aNames,
                 const std::string& aRequestId);
 
+/** What a request asks, whoever asks it and however often. */
+once::content_hash
+ContentOf(const http_message& aRequest);
+
 /** A leaf's answer as it goes to the caller. */
 http_response
 ForwardedAnswer(const http_message& aAnswer);
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -85,6 +85,8 @@
 
 json
 ToArray(const directory_delta& aDelta);
+json
+ToArray(const once::death_mark& aMark);
 
 template<class T>
 json
@@ -97,6 +99,15 @@
   return out;
 }
 
+json
+ToArray(const once::death_mark& aMark)
+{
+  return json::array({ once::NameOf(aMark),
+                       aMark.mSuspicion.mService.Value(),
+                       aMark.mCleared,
+                       aMark.mExpires.time_since_epoch().count() });
+}
+
 json
 ToArray(const directory_delta& aDelta)
 {
@@ -147,7 +158,8 @@
                             ToArrays(aMessage.mMembers),
                             aMessage.mWantsReply,
                             ToArrays(aMessage.mSuspects),
-                            ToArrays(aMessage.mDeltas) }));
+                            ToArrays(aMessage.mDeltas),
+                            ToArrays(aMessage.mDeaths) }));
 }
 
 std::optional<fleet_message>
@@ -170,6 +182,18 @@
     for (const json& delta : value->at(4)) {
       message.mDeltas.push_back(ToDelta(delta));
     }
+    for (const json& death : value->at(5)) {
+      const auto suspicion =
+        once::ParseMarkName(death.at(0).get<std::string>(),
+                            model::service_id(death.at(1).get<std::string>()));
+      if (!suspicion) {
+        return std::nullopt; // The caller logs it with the sender.
+      }
+      message.mDeaths.push_back({ *suspicion,
+                                  death.at(2).get<bool>(),
+                                  model::wall_instant(std::chrono::milliseconds(
+                                    death.at(3).get<std::int64_t>())) });
+    }
     return message;
   } catch (const json::exception&) {
     return std::nullopt; // The caller logs it with the sender.
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -6,6 +6,7 @@
 #define MONSOONCROFT_SERVING_FLEET_TYPE_H
 
 #include "model/endpoint_type.h"
+#include "once/quarantine_type.h"
 #include "serving/leaf_entry_type.h"
 
 #include <cstdint>
@@ -51,7 +52,8 @@
   std::vector<fleet_member> mMembers; ///< The sender first.
   bool mWantsReply = false;           ///< The sender knows nobody yet.
   std::vector<leaf_suspicion> mSuspects;
-  std::vector<directory_delta> mDeltas; ///< None or one.
+  std::vector<directory_delta> mDeltas;  ///< None or one.
+  std::vector<once::death_mark> mDeaths; ///< Of leaves, with the request.
 
   bool operator==(const fleet_message&) const = default;
 };
--- a/test/gateway/fake_leaf.h
+++ b/test/gateway/fake_leaf.h
@@ -98,12 +98,18 @@
                 }
               });
   }
-  ~fake_leaf()
+  ~fake_leaf() { Stop(); }
+  /** Refuses connections from now on. */
+  void Stop()
   {
+    if (mListener == nullptr) {
+      return;
+    }
     uv_close(reinterpret_cast<uv_handle_t*>(mListener),
              [](uv_handle_t* aHandle) {
                delete reinterpret_cast<uv_tcp_t*>(aHandle);
              });
+    mListener = nullptr;
   }
   fake_leaf(const fake_leaf&) = delete;
   fake_leaf& operator=(const fake_leaf&) = delete;
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -391,6 +391,33 @@
   EXPECT_TRUE(done);
 }
 
+/** Each leaf that runs the request dies and refuses connections; its caller
+ * sends it again and again. */
+TEST_F(instance_test, ARequestThatKillsLeavesIsQuarantined)
+{
+  int deaths = 0;
+  for (int place = 0; place < 6; ++place) {
+    AddLeaf("plain", [&, place](auto& aLink, const auto& aRequest) {
+      if (aRequest.mTarget == "/one/kills") {
+        ++deaths;
+        mLeaves[place]->Stop();
+        aLink.Reset();
+        return;
+      }
+      aLink.Write(Proper(aRequest, "s", "x"));
+    });
+  }
+  AddPlain(serving::repeatability::Idempotent);
+  Start();
+  for (int request = 0; request < 8; ++request) {
+    Ask("/one/kills", "k" + std::to_string(request));
+    Spin(milliseconds(150));
+  }
+  EXPECT_LE(deaths, 3);
+  EXPECT_EQ(Ask("/one/kills", "k9").mStatus, 503);
+  EXPECT_EQ(Ask("/one/other", "o1").mStatus, 200);
+}
+
 TEST_F(instance_test, ACallerThatLeavesEndsItsWorkAtLeaves)
 {
   AddLeaf("plain", [](auto& /*aLink*/, const auto& /*aRequest*/) {});
--- a/test/serving/fleet_test.cpp
+++ b/test/serving/fleet_test.cpp
@@ -60,7 +60,7 @@
     const auto targets = mViews[aFrom]->OnRound(mNow);
     const bool alone = mViews[aFrom]->Live(mNow).empty();
     const std::string bytes =
-      EncodeMessage({ mViews[aFrom]->Told(), alone, {}, {} });
+      EncodeMessage({ mViews[aFrom]->Told(), alone, {}, {}, {} });
     EXPECT_LT(bytes.size(), 1'400U);
     for (const model::endpoint& target : targets) {
       ++mDatagrams;
@@ -69,7 +69,7 @@
         const auto message = *DecodeMessage(bytes);
         mViews[place]->OnMessage(message, mNow);
         if (message.mWantsReply) {
-          mViews[aFrom]->OnMessage({ mViews[place]->Told(), false, {}, {} },
+          mViews[aFrom]->OnMessage({ mViews[place]->Told(), false, {}, {}, {} },
                                    mNow);
         }
       }
@@ -172,14 +172,19 @@
   leaf.mDraining = true;
   leaf.mBorn = 1'700'000'000'000;
   const fleet_message message{
-    { member }, true, { { "l", 300 } }, { { 1, 2, { leaf }, { "gone" } } }
+    { member },
+    true,
+    { { "l", 300 } },
+    { { 1, 2, { leaf }, { "gone" } } },
+    { { { { 1, 2 }, { 3, 4 }, model::service_id("s") }, true, {} } }
   };
   EXPECT_EQ(DecodeMessage(EncodeMessage(message)), message);
 }
 
 TEST(FleetCodec, ForeignBytesAreNoMessage)
 {
-  const std::string good = EncodeMessage({ { fleet_member{} }, false, {}, {} });
+  const std::string good =
+    EncodeMessage({ { fleet_member{} }, false, {}, {}, {} });
   for (std::size_t length = 0; length < good.size(); ++length) {
     EXPECT_FALSE(DecodeMessage(good.substr(0, length)));
   }
