--- a/src/gateway/event_loop.cpp
+++ b/src/gateway/event_loop.cpp
@@ -11,10 +11,11 @@
 namespace monsooncroft::gateway {
 
 event_loop::event_loop()
-  : mLoop(uv_default_loop())
+  : mLoop(new uv_loop_t())
   , mCheck(new uv_check_t())
   , mPrepare(new uv_prepare_t())
 {
+  uv_loop_init(mLoop);
   uv_check_init(mLoop, mCheck);
   mCheck->data = this;
   uv_check_start(mCheck, [](uv_check_t* aCheck) {
@@ -37,6 +38,10 @@
   });
   RunDeferred();
   uv_run(mLoop, UV_RUN_NOWAIT);
+  // A loop with handles that others still hold is left to the process's end.
+  if (uv_loop_close(mLoop) == 0) {
+    delete mLoop;
+  }
 }
 
 void
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -19,8 +19,8 @@
 
 namespace {
 
-/** Bytes read in one call. One buffer serves all streams: bytes are handled
- * before the next read. */
+/** Bytes read in one call. One buffer serves all streams of a thread: bytes are
+ * handled before the next read. */
 constexpr std::size_t kReadBytes = 65'536;
 /** Unacknowledged bytes end a connection after this: a machine without power
  * does not answer at all. Above several retransmissions on a lossy link. */
@@ -46,9 +46,9 @@
                          std::size_t /*aSuggested*/,
                          uv_buf_t* aBuffer)
   {
-    static std::array<char, kReadBytes> sBuffer;
-    aBuffer->base = sBuffer.data();
-    aBuffer->len = sBuffer.size();
+    thread_local std::array<char, kReadBytes> buffer;
+    aBuffer->base = buffer.data();
+    aBuffer->len = buffer.size();
   }
 
   static void OnRead(uv_stream_t* aStream,
