The time to answer leaves out the caller's own way, as the kernel measured it

Cause: callers count from before their connection; a fixed part of the aim (0.86) answered rakan's urgent callers, 6.4 ms away, at 84 ms of 80 (7 late of 481) and wasted time for sanna's, 2 ms away.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -49,6 +49,7 @@
   , mStream(std::move(aStream))
   , mReader(http_reader::role::Requests)
   , mSince(aNow)
+  , mRoundTrip(mStream->RoundTrip())
 {
   mStream->SetHandler(*this);
   mStream->StartReading();
@@ -112,8 +113,11 @@
   }
   mHeadBegun = false;
   mContinued = false;
-  mExchange =
-    std::make_shared<exchange>(*this, std::move(mReader.Message()), now);
+  mExchange = std::make_shared<exchange>(*this,
+                                         std::move(mReader.Message()),
+                                         now,
+                                         mFirst ? 2 * mRoundTrip : mRoundTrip);
+  mFirst = false;
   mReader.Next();
   // The handler may answer at once, which begins the next request.
   const exchange_ptr begun = mExchange;
--- a/src/gateway/caller_connection_base.h
+++ b/src/gateway/caller_connection_base.h
@@ -44,9 +44,11 @@
   http_server& mServer;
   std::unique_ptr<tcp_stream> mStream;
   http_reader mReader;
-  std::string mUnread;    ///< Of requests behind the one in work.
-  exchange_ptr mExchange; ///< In work.
-  model::instant mSince;  ///< Of the present state: idle, head, lingering.
+  std::string mUnread;        ///< Of requests behind the one in work.
+  exchange_ptr mExchange;     ///< In work.
+  model::instant mSince;      ///< Of the present state: idle, head, lingering.
+  model::duration mRoundTrip; ///< To the caller; 0: not known.
+  bool mFirst = true;         ///< No request has come yet.
   bool mHeadBegun = false;
   bool mContinued = false; ///< The body was asked for.
   bool mPaused = false;
--- a/src/gateway/exchange_base.h
+++ b/src/gateway/exchange_base.h
@@ -22,16 +22,21 @@
 public:
   exchange(caller_connection& aConnection,
            http_message aRequest,
-           model::instant aReceived)
+           model::instant aReceived,
+           model::duration aCallersWay)
     : mConnection(&aConnection)
     , mRequest(std::move(aRequest))
     , mReceived(aReceived)
+    , mCallersWay(aCallersWay)
   {
   }
 
   const http_message& Request() const { return mRequest; }
   http_message& Request() { return mRequest; }
   model::instant Received() const { return mReceived; }
+  /** What the caller waits besides: for its connection if this is its first
+   * request, for the request to come and the answer to go; 0 if not known. */
+  model::duration CallersWay() const { return mCallersWay; }
   /** Sends the answer; nothing happens if the caller has left. */
   void Respond(const http_response& aResponse);
   bool CallerLeft() const { return mConnection == nullptr; }
@@ -46,6 +51,7 @@
   caller_connection* mConnection;
   http_message mRequest;
   model::instant mReceived;
+  model::duration mCallersWay;
   std::function<void()> mOnLeft;
 };
 
--- a/src/gateway/query_run.cpp
+++ b/src/gateway/query_run.cpp
@@ -41,8 +41,10 @@
   mTerms.mLeast = route.IsFanOut()
                     ? serving::LeastShards(mParts.size(), route.mLeastShare)
                     : 1;
-  mTerms.mAnswerBy = mExchange->Received() +
-                     Scaled(route.mTargetLatency, mContext.mSettings.mAnswerAt);
+  mTerms.mAnswerBy =
+    mExchange->Received() + serving::TimeToAnswer(route.mTargetLatency,
+                                                  mExchange->CallersWay(),
+                                                  mContext.mSettings.mAnswer);
   mTerms.mDeadline = mPlan.mDeadline;
 }
 
--- a/src/gateway/query_settings_type.h
+++ b/src/gateway/query_settings_type.h
@@ -5,6 +5,8 @@
 #ifndef MONSOONCROFT_GATEWAY_QUERY_SETTINGS_TYPE_H
 #define MONSOONCROFT_GATEWAY_QUERY_SETTINGS_TYPE_H
 
+#include "serving/answer_rule_func.h"
+
 #include <chrono>
 
 namespace monsooncroft::gateway {
@@ -12,9 +14,7 @@
 /** Times and factors of the data path. */
 struct query_settings
 {
-  /** Part of the target latency after which the least share is enough. The
-   * rest is for the caller's own way here and back, and its connection. */
-  double mAnswerAt = 0.86;
+  serving::answer_times mAnswer;
   /** A hedge goes out after so many times the latency that most keep to. */
   double mHedgeFactor = 1.3;
   /** ... and at the latest at this part of the target latency. */
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -158,6 +158,18 @@
   return stream;
 }
 
+model::duration
+tcp_stream::RoundTrip() const
+{
+  uv_os_fd_t socket = -1;
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  const bool known =
+    uv_fileno(reinterpret_cast<const uv_handle_t*>(mHandle), &socket) == 0 &&
+    ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+  return model::duration(known ? info.tcpi_rtt : 0);
+}
+
 void
 tcp_stream::StartReading()
 {
--- a/src/gateway/tcp_stream_base.h
+++ b/src/gateway/tcp_stream_base.h
@@ -6,6 +6,7 @@
 #define MONSOONCROFT_GATEWAY_TCP_STREAM_BASE_H
 
 #include "gateway/stream_handler_base.h"
+#include "model/time_type.h"
 
 #include <cstddef>
 #include <memory>
@@ -43,6 +44,8 @@
   tcp_stream& operator=(tcp_stream&&) = delete;
 
   void SetHandler(stream_handler& aHandler) { mHandler = &aHandler; }
+  /** Way there and back as the kernel measured it; 0 if it cannot tell. */
+  model::duration RoundTrip() const;
   void StartReading();
   void StopReading();
   /** Writes in order; failures show as the end of the stream. */
--- a/src/serving/answer_rule.cpp
+++ b/src/serving/answer_rule.cpp
@@ -21,6 +21,25 @@
                                  std::max<std::size_t>(1, aTotal));
 }
 
+model::duration
+TimeToAnswer(model::duration aTarget,
+             model::duration aCallersWay,
+             const answer_times& aTimes)
+{
+  const auto part = [&](double aPart) {
+    return model::duration(static_cast<model::duration::rep>(
+      aPart * static_cast<double>(aTarget.count())));
+  };
+  if (aCallersWay.count() == 0) {
+    return part(aTimes.mAnswerAtUnknownWay);
+  }
+  const auto own =
+    std::min<model::duration>(part(aTimes.mAnswerAt), aTarget - aTimes.mMargin);
+  // A caller that is too far away cannot be answered in time; half of the time
+  // is used all the same.
+  return std::max(own - aCallersWay, aTarget / 2);
+}
+
 answer_decision
 DecideAnswer(const answer_terms& aTerms,
              const answer_progress& aProgress,
--- a/src/serving/answer_rule_func.h
+++ b/src/serving/answer_rule_func.h
@@ -23,6 +23,20 @@
   bool operator==(const answer_terms&) const = default;
 };
 
+/** When the least share begins to be enough. */
+struct answer_times
+{
+  /** Part of the target latency, less the caller's own way. The rest is for
+   * delays of this machine. */
+  double mAnswerAt = 0.96;
+  /** ... at the latest so long before the target: above timer errors. */
+  std::chrono::milliseconds mMargin{ 2 };
+  /** The part where the caller's way is not known. */
+  double mAnswerAtUnknownWay = 0.84;
+
+  bool operator==(const answer_times&) const = default;
+};
+
 /** How far a request has come. */
 struct answer_progress
 {
@@ -44,6 +58,18 @@
 std::size_t
 LeastShards(std::size_t aTotal, double aLeastShare);
 
+/**
+ * Callers count from before their connection until the answer is there, so the
+ * way of a far one is not ours to spend.
+ * @param aTarget The route's target latency.
+ * @param aCallersWay What the caller waits besides; 0 if not known.
+ * @return Time from the request's arrival to where its least share is enough.
+ */
+model::duration
+TimeToAnswer(model::duration aTarget,
+             model::duration aCallersWay,
+             const answer_times& aTimes);
+
 /**
  * Answers the load of a fan-out with stragglers: complete as long as that is
  * in time, then the least share, and a failure at once when even that is lost.
--- a/test/serving/routing_test.cpp
+++ b/test/serving/routing_test.cpp
@@ -104,6 +104,21 @@
   EXPECT_EQ(decide(18, 2, 900), answer_decision::Answer);
 }
 
+TEST(AnswerRule, TheCallersWayIsNotOursToSpend)
+{
+  const answer_times times;
+  const auto at = [&](int aTargetMs, int aWayMs) {
+    return TimeToAnswer(milliseconds(aTargetMs), milliseconds(aWayMs), times);
+  };
+  for (const int target : { 40, 80, 200, 800 }) {
+    for (const int way : { 1, 6, 13 }) {
+      EXPECT_LE(at(target, way) + milliseconds(way), milliseconds(target - 2));
+    }
+  }
+  EXPECT_EQ(at(100, 0), milliseconds(84));
+  EXPECT_EQ(at(40, 100), milliseconds(20));
+}
+
 TEST(AnswerRule, TheLeastShareIsExact)
 {
   EXPECT_EQ(LeastShards(20, 0.75), 15U);
