--- a/src/serving/answer_rule_func.h
+++ b/src/serving/answer_rule_func.h
@@ -28,7 +28,7 @@
 {
   /** Part of the target latency, less the caller's own way. The rest is for
    * delays of this machine. */
-  double mAnswerAt = 0.96;
+  double mAnswerAt = 0.9;
   /** ... at the latest so long before the target: above timer errors. */
   std::chrono::milliseconds mMargin{ 2 };
   /** The part where the caller's way is not known. */
