--- a/bench/gateway_slope.cpp
+++ b/bench/gateway_slope.cpp
@@ -135,6 +135,7 @@
   gateway::event_loop outside;
   std::vector<std::unique_ptr<gateway::fake_leaf>> leaves;
   const std::string body(400, 'r');
+  leaves.reserve(static_cast<std::size_t>(aShards));
   for (int shard = 0; shard < aShards; ++shard) {
     leaves.push_back(std::make_unique<gateway::fake_leaf>(
       outside, [&](auto& aLink, const auto& aRequest) {
--- a/src/gateway/peer_port.cpp
+++ b/src/gateway/peer_port.cpp
@@ -136,9 +136,9 @@
   uv_udp_recv_start(
     mSocket,
     [](uv_handle_t* /*aHandle*/, std::size_t /*aSize*/, uv_buf_t* aBuffer) {
-      thread_local std::array<char, kMostDatagramBytes> buffer;
-      aBuffer->base = buffer.data();
-      aBuffer->len = buffer.size();
+      thread_local std::array<char, kMostDatagramBytes> sBuffer;
+      aBuffer->base = sBuffer.data();
+      aBuffer->len = sBuffer.size();
     },
     [](uv_udp_t* aSocket,
        ssize_t aCount,
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -46,9 +46,9 @@
                          std::size_t /*aSuggested*/,
                          uv_buf_t* aBuffer)
   {
-    thread_local std::array<char, kReadBytes> buffer;
-    aBuffer->base = buffer.data();
-    aBuffer->len = buffer.size();
+    thread_local std::array<char, kReadBytes> sBuffer;
+    aBuffer->base = sBuffer.data();
+    aBuffer->len = sBuffer.size();
   }
 
   static void OnRead(uv_stream_t* aStream,
