--- a/src/gateway/leaf_attempt_type.h
+++ b/src/gateway/leaf_attempt_type.h
@@ -70,7 +70,6 @@
   model::instant mDeadline; ///< Nobody waits longer.
   model::duration mUsualWork{ 0 };          ///< The route's mean.
   std::string mLeaf;                        ///< Its id.
-  bool mExtra = false;                      ///< Not the shard's first.
   model::instant mQueued;                   ///< When it was handed to the leaf.
   std::optional<model::instant> mSent;      ///< When its bytes left.
   std::optional<model::instant> mAbandoned; ///< Since when nobody waits.
--- a/src/gateway/query_run_base.h
+++ b/src/gateway/query_run_base.h
@@ -63,7 +63,7 @@
   bool MayTryAgain(std::size_t aPart, bool aMayHaveRun, model::instant aNow);
   void Hedge(std::size_t aPart, model::instant aNow);
   leaf_peer* Choose(std::size_t aPart, bool aFreshOnly, model::instant aNow);
-  void OnAnswer(part& aPart, leaf_attempt& aAttempt, http_message aAnswer);
+  void OnAnswer(part& aPart, http_message aAnswer);
   void OnWake();
   void Evaluate(model::instant aNow);
   void SetWake(model::instant aNow);
@@ -84,11 +84,9 @@
   std::size_t mAnswered = 0;
   std::size_t mLostParts = 0;
   int mSends = 0;
-  int mExtra = 0;
   int mHedges = 0;
   int mOmitted = 0;
   bool mMayHaveRun = false; ///< An attempt ended without a proof.
-  bool mRefusedAsFull = false;
   bool mDone = false;
   const char* mLastReason = "";
   http_message mFailure; ///< A leaf's own failure, passed on as the last way.
--- a/src/serving/fleet_view.cpp
+++ b/src/serving/fleet_view.cpp
@@ -161,13 +161,4 @@
   return best;
 }
 
-bool
-fleet_view::Hears(const std::string& aDataCentre, model::instant aNow) const
-{
-  return std::any_of(mKnown.begin(), mKnown.end(), [&](const auto& aEntry) {
-    return aEntry.second.mMember.mDataCentre == aDataCentre &&
-           aNow - aEntry.second.mHeard <= mTerms.mSilentAfter;
-  });
-}
-
 } // namespace monsooncroft::serving
--- a/src/serving/fleet_view_base.h
+++ b/src/serving/fleet_view_base.h
@@ -72,8 +72,6 @@
                    model::instant aNow) const;
   /** A live member with a newer configuration, own data centre first. */
   std::optional<fleet_member> NewerConfig(model::instant aNow) const;
-  /** Whether anyone of the data centre was heard of lately. */
-  bool Hears(const std::string& aDataCentre, model::instant aNow) const;
 
 private:
   struct known_member
