--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -226,8 +226,6 @@
   const bool ready = !mStop && reach >= kReadyShare;
   if (ready != mReady) {
     mReady = ready;
-    // Callers with kept connections find an instance that is in reach of more.
-    mCallers.SetCloseAfterAnswer(mStop.has_value());
     mLog.Write(ops::log_level::Info,
                ready ? "ready" : "not_ready",
                { { "reach", reach },
--- a/src/gateway/query_desk.cpp
+++ b/src/gateway/query_desk.cpp
@@ -44,14 +44,14 @@
   });
 }
 
-serving::route_latency&
+const std::shared_ptr<serving::route_latency>&
 query_desk::LatencyOf(const serving::route& aRoute)
 {
   auto& latency = mLatencies[aRoute.mName];
   if (!latency) {
     latency = std::make_shared<serving::route_latency>(aRoute.mTargetLatency);
   }
-  return *latency;
+  return latency;
 }
 
 void
@@ -132,8 +132,7 @@
   plan.mServices = route->IsFanOut()
                      ? route->mShards
                      : std::vector<std::string>{ mSplit.Next(*route) };
-  LatencyOf(*route);
-  plan.mLatency = mLatencies[route->mName];
+  plan.mLatency = LatencyOf(*route);
   plan.mRequestId = *id;
   plan.mOnceOnly = passage != once::passage::Free;
   plan.mDeadline = aExchange->Received() + wait;
--- a/src/gateway/query_desk_base.h
+++ b/src/gateway/query_desk_base.h
@@ -60,7 +60,8 @@
   /** Whether a request that looks like this one has killed leaves. */
   once::passage Passage(const http_message& aRequest,
                         const std::string& aHost) const;
-  serving::route_latency& LatencyOf(const serving::route& aRoute);
+  const std::shared_ptr<serving::route_latency>& LatencyOf(
+    const serving::route& aRoute);
 
   query_context mContext;
   serving::routing_config_ptr mConfig;
