What one instance learns of a leaf, its data centre knows; connections change hands where instances outnumber them

- serving::leaf_load: share of useless answers apart from speed; an answer bounds the way there; slow answers and refusals are told to the instances of the own data centre (shared_learning_test: fails without telling).
- serving::SplitLinks: own data centre's replica first; only that connection is kept open, others are given back after half a second.
- event_loop::Arrived: about when an answer came in.
- leaf_link: an unused connection that ends late has met no limit (test fails with the old rule); reopened within two seconds, each instance at its time.
- fleet_view: two of three messages of a round stay in the data centre.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -110,6 +110,22 @@
   TellAll(message, aNow);
 }
 
+void
+control_plane::TellNeighbours(
+  const std::vector<serving::leaf_observation>& aObservations,
+  model::instant aNow)
+{
+  serving::fleet_message message;
+  message.mMembers = { mFleet.Self() };
+  message.mObservations = aObservations;
+  const std::string bytes = serving::EncodeMessage(message);
+  for (const serving::fleet_member& member : mFleet.Live(aNow)) {
+    if (member.mDataCentre == mFleet.Self().mDataCentre) {
+      mPort.Send(member.mPeer, bytes);
+    }
+  }
+}
+
 void
 control_plane::TellAll(const serving::fleet_message& aMessage,
                        model::instant aNow)
@@ -139,6 +155,9 @@
   for (const serving::leaf_suspicion& suspicion : message->mSuspects) {
     mHooks.mOnSuspicion(suspicion);
   }
+  for (const serving::leaf_observation& seen : message->mObservations) {
+    mHooks.mOnObservation(seen);
+  }
   for (const once::death_mark& death : message->mDeaths) {
     mHooks.mOnDeath(death);
   }
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -39,6 +39,7 @@
     std::function<void(serving::routing_config_ptr)> mOnConfig;
     std::function<void(const serving::leaf_directory::changes&)> mOnLeaves;
     std::function<void(const serving::leaf_suspicion&)> mOnSuspicion;
+    std::function<void(const serving::leaf_observation&)> mOnObservation;
     std::function<std::vector<serving::leaf_suspicion>()> mSuspects;
     std::function<void(const once::death_mark&)> mOnDeath;
     std::function<std::vector<once::death_mark>()> mDeaths;
@@ -71,6 +72,10 @@
   const serving::routing_config_ptr& Config() const { return mConfig; }
   bool ConfigCertain(model::instant aNow) const;
   /** Tells all peers at once that a leaf has died with a request. */
+  /** Tells the instances of the own data centre, which use the same leaves. */
+  void TellNeighbours(
+    const std::vector<serving::leaf_observation>& aObservations,
+    model::instant aNow);
   void TellDeath(const once::death_mark& aMark, model::instant aNow);
 
 private:
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds kSuspensionGap{ 700 };
 /** Part of the routed services that must be in reach to take callers. */
 constexpr double kReadyShare = 0.75;
+/** Observations of leaves in one message, so that it fits a datagram. */
+constexpr std::size_t kMostObserved = 48;
 /** Work that a leaf is taken to need where no route is at hand. */
 constexpr std::chrono::milliseconds kAnyWork{ 30 };
 
@@ -159,6 +161,17 @@
         event_loop::Now() + std::chrono::milliseconds(aSuspicion.mForMs));
     }
   };
+  hooks.mOnObservation = [this](const serving::leaf_observation& aSeen) {
+    if (leaf_peer* leaf = mLeaves.Find(aSeen.mLeaf)) {
+      const model::instant now = event_loop::Now();
+      if (aSeen.mExcessMs == 0) {
+        leaf->Load().OnPeerUseless(now);
+      } else {
+        leaf->Load().OnPeerSample(std::chrono::milliseconds(aSeen.mExcessMs),
+                                  now);
+      }
+    }
+  };
   hooks.mOnDeath = [this](const once::death_mark& aMark) {
     mQuarantine.Merge(aMark, WallNow());
   };
@@ -179,6 +192,9 @@
   mCallers.OnTick(now);
   mReadiness.OnTick(now);
   mLeaves.OnTick(mDesk.Config().get(), now);
+  if (!mObserved.empty()) {
+    mControl.TellNeighbours(std::exchange(mObserved, {}), now);
+  }
   if (now >= mNextRound) {
     mNextRound = now + kRound;
     OnRound(now);
@@ -195,8 +211,8 @@
 {
   mQuarantine.OnTimer(WallNow());
   mControl.OnRound(aNow);
-  const std::size_t instances = mControl.Fleet().CountedInstances(aNow);
-  mBudget.SetInstances(instances);
+  const serving::fleet_size instances = mControl.Fleet().CountedInstances(aNow);
+  mBudget.SetInstances(instances.mAll);
   mLeaves.SetShares(mDesk.Config().get(), instances);
   mDesk.SetConfigCertain(mControl.ConfigCertain(aNow));
 }
@@ -288,6 +304,28 @@
   mMetrics.Count("leaf_connections_opened");
 }
 
+void
+entry_instance::OnSlow(const leaf_peer& aLeaf, model::duration aExcess)
+{
+  Observe(aLeaf,
+          static_cast<std::uint32_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(aExcess).count()));
+}
+
+void
+entry_instance::OnUseless(const leaf_peer& aLeaf)
+{
+  Observe(aLeaf, 0);
+}
+
+void
+entry_instance::Observe(const leaf_peer& aLeaf, std::uint32_t aExcessMs)
+{
+  if (mObserved.size() < kMostObserved) {
+    mObserved.push_back({ aLeaf.Entry().mId, aExcessMs });
+  }
+}
+
 void
 entry_instance::OnLeafDied(const leaf_peer& aLeaf,
                            const once::suspicion& aSuspicion)
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -39,6 +39,8 @@
   void Apply(const instance_settings& aSettings);
 
   void OnLinkOpened(const leaf_peer& aLeaf) override;
+  void OnSlow(const leaf_peer& aLeaf, model::duration aExcess) override;
+  void OnUseless(const leaf_peer& aLeaf) override;
   void OnLeafDied(const leaf_peer& aLeaf,
                   const once::suspicion& aSuspicion) override;
   void OnLinkLost(const leaf_peer& aLeaf, const char* aReason) override;
@@ -50,6 +52,7 @@
   void OnRound(model::instant aNow);
   void CheckSuspension(model::instant aNow);
   void CheckReadiness(model::instant aNow);
+  void Observe(const leaf_peer& aLeaf, std::uint32_t aExcessMs);
   void StepStop(model::instant aNow);
   control_plane::hooks MakeHooks();
 
@@ -66,6 +69,7 @@
   http_server mCallers;
   http_server mReadiness;
   loop_timer mTick;
+  std::vector<serving::leaf_observation> mObserved; ///< Not told yet.
   model::instant mStarted;
   model::instant mNextRound;
   std::optional<stop_sequence> mStop;
--- a/src/gateway/event_loop.cpp
+++ b/src/gateway/event_loop.cpp
@@ -10,6 +10,13 @@
 
 namespace monsooncroft::gateway {
 
+namespace {
+
+/** Above the time of a call that finds events ready. */
+constexpr model::duration kWaited{ 100 };
+
+} // namespace
+
 event_loop::event_loop()
   : mLoop(new uv_loop_t())
   , mCheck(new uv_check_t())
@@ -24,7 +31,9 @@
   uv_prepare_init(mLoop, mPrepare);
   mPrepare->data = this;
   uv_prepare_start(mPrepare, [](uv_prepare_t* aPrepare) {
-    static_cast<event_loop*>(aPrepare->data)->RunDeferred();
+    auto* self = static_cast<event_loop*>(aPrepare->data);
+    self->RunDeferred();
+    self->mWaitBegan = Now();
   });
 }
 
@@ -62,6 +71,19 @@
   return model::instant(model::duration(uv_hrtime() / 1000));
 }
 
+void
+event_loop::NoteEvent()
+{
+  if (mWaitEnded > mWaitBegan) {
+    return; // Not the first of this round.
+  }
+  const model::instant before = std::exchange(mWaitEnded, Now());
+  // Where the loop did not wait, events came in at any time of the last round.
+  mArrived = mWaitEnded - mWaitBegan > kWaited
+               ? mWaitEnded
+               : before + (mWaitEnded - before) / 2;
+}
+
 void
 event_loop::Defer(std::function<void()> aWork)
 {
--- a/src/gateway/event_loop_base.h
+++ b/src/gateway/event_loop_base.h
@@ -32,6 +32,13 @@
   void Stop();
   uv_loop_t* Get() { return mLoop; }
   static model::instant Now();
+  /** Called for each event of the network before it is handled. */
+  void NoteEvent();
+  /**
+   * About when what is handled now came in: earlier than the present by what
+   * this instance needed to get to it, which counts on a slow or busy machine.
+   */
+  model::instant Arrived() const { return mArrived; }
   /** Runs later in the same round: for destroying what is on the stack. */
   void Defer(std::function<void()> aWork);
 
@@ -42,6 +49,9 @@
   uv_check_t* mCheck;     ///< After reading and writing.
   uv_prepare_t* mPrepare; ///< After timers.
   std::vector<std::function<void()>> mDeferred;
+  model::instant mWaitBegan; ///< The loop had nothing more to do.
+  model::instant mWaitEnded; ///< First event of this round.
+  model::instant mArrived;
 };
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/leaf_attempt_type.h
+++ b/src/gateway/leaf_attempt_type.h
@@ -29,8 +29,9 @@
 struct attempt_result
 {
   attempt_end mEnd = attempt_end::NotSent;
-  http_message mAnswer;     ///< For Answered and NotRun.
-  const char* mReason = ""; ///< For logs, in few words.
+  http_message mAnswer;      ///< For Answered and NotRun.
+  const char* mReason = "";  ///< For logs, in few words.
+  model::instant mArrived{}; ///< Of the answer, if there is one.
 };
 
 class leaf_attempt;
--- a/src/gateway/leaf_link.cpp
+++ b/src/gateway/leaf_link.cpp
@@ -22,8 +22,12 @@
  * connection would cost the leaf a slot. Below the half second after which a
  * leaf must not work for a caller that has left. */
 constexpr std::chrono::milliseconds kAbandonGrace{ 280 };
+/** A leaf at its limit resets a new connection within a round trip; what ends
+ * later has not met the limit. */
+constexpr std::chrono::milliseconds kCapNotice{ 1'000 };
 /** Closed so long before the leaf's own idle timeout. */
 constexpr std::chrono::milliseconds kIdleMargin{ 400 };
+constexpr int kServerFailures = 500; ///< Statuses from here on.
 /** Answers to other requests that are passed over on one connection. */
 constexpr int kMostSkipped = 4;
 /** Largest answer that is taken in; above the largest that leaves give. */
@@ -63,9 +67,10 @@
     Close(attempt_end::NotSent, "connection refused");
     return;
   }
-  const auto roundTrip = now - mSince;
+  const auto roundTrip = std::max(mLoop.Arrived() - mSince, model::duration(0));
   mState = state::Idle;
   mSince = now;
+  mConnected = now;
   mStream->StartReading();
   mLeaf.OnLinkConnected(roundTrip, now);
 }
@@ -81,7 +86,8 @@
 leaf_link::Send(const leaf_attempt_ptr& aAttempt, model::instant aNow)
 {
   mAttempt = aAttempt;
-  mAttempt->mSent = aNow;
+  // Many sends in one go take time on a slow machine.
+  mAttempt->mSent = event_loop::Now();
   mState = state::Busy;
   mSince = aNow;
   mSkipped = 0;
@@ -170,6 +176,9 @@
     result.mEnd = attempt_end::Lost;
     result.mReason = "encoded answer";
   }
+  result.mArrived = std::max(mLoop.Arrived(), *mAttempt->mSent);
+  const bool useful =
+    result.mEnd == attempt_end::Answered && answer.mStatus < kServerFailures;
   result.mAnswer = std::move(answer);
   if (misdirected) {
     mLeaf.OnMisdirected();
@@ -178,7 +187,7 @@
   mAttempt = nullptr;
   mState = state::Idle;
   mSince = event_loop::Now();
-  mLeaf.OnAttemptDone(*attempt, result.mEnd, mSince);
+  mLeaf.OnAttemptDone(*attempt, { result.mEnd, useful, result.mArrived });
   if (!reusable) {
     Close(attempt_end::Lost, "not to be used again");
   }
@@ -232,8 +241,11 @@
   link_end end = link_end::Ended;
   if (mState == state::Connecting) {
     end = link_end::Refused;
-  } else if (aEnd == attempt_end::Lost && !mServed) {
+  } else if (aEnd == attempt_end::Lost && !mServed &&
+             event_loop::Now() - mConnected < kCapNotice) {
     end = link_end::Capped;
+  } else if (aEnd == attempt_end::Lost && mState == state::Idle) {
+    end = link_end::Rested;
   }
   mState = state::Closed;
   mSince = event_loop::Now();
@@ -244,7 +256,7 @@
   }
   mStream.reset(); // Safe within its own callback.
   if (attempt) {
-    mLeaf.OnAttemptDone(*attempt, aEnd, mSince);
+    mLeaf.OnAttemptDone(*attempt, { aEnd, false, mSince });
   }
   mLeaf.OnLinkClosed(*this, end, aReason);
   if (attempt) {
--- a/src/gateway/leaf_link_base.h
+++ b/src/gateway/leaf_link_base.h
@@ -69,7 +69,8 @@
   std::unique_ptr<tcp_stream> mStream;
   http_reader mReader;
   leaf_attempt_ptr mAttempt;
-  model::instant mSince;                     ///< Of the present state.
+  model::instant mSince; ///< Of the present state.
+  model::instant mConnected;
   std::optional<model::duration> mIdleLimit; ///< After which the leaf closes.
   int mSkipped = 0;     ///< Answers to other requests while this one waits.
   bool mServed = false; ///< The leaf has answered on it.
--- a/src/gateway/leaf_peer.cpp
+++ b/src/gateway/leaf_peer.cpp
@@ -18,19 +18,24 @@
 /** No further connection is tried for so long at a leaf at its limit. */
 constexpr std::chrono::milliseconds kCapPause{ 1'000 };
 
-/** A connection beyond the own share is given back after such a time. */
-constexpr std::chrono::milliseconds kReserveIdle{ 500 };
+/** Peers are told of answers that took so much longer than usual. */
+constexpr std::chrono::milliseconds kLeastTold{ 8 };
+/** A connection that is not kept open is left to other instances after such a
+ * time without work. */
+constexpr std::chrono::milliseconds kSharedIdle{ 500 };
 
 } // namespace
 
 leaf_peer::leaf_peer(event_loop& aLoop,
                      const header_names& aNames,
                      leaf_observer& aObserver,
-                     serving::leaf_entry aEntry)
+                     serving::leaf_entry aEntry,
+                     model::duration aOpensAheadAfter)
   : mLoop(aLoop)
   , mNames(aNames)
   , mObserver(aObserver)
   , mEntry(std::move(aEntry))
+  , mOpensAheadAfter(aOpensAheadAfter)
   , mDeaths(model::leaf_id(mEntry.mId))
 {
   Settle(mDeaths.OnBoot(std::to_string(mEntry.mBorn)));
@@ -77,18 +82,17 @@
   Dispatch(aNow);
 }
 
-bool
+void
 leaf_peer::TakeWaiting(leaf_link& aLink, model::instant aNow)
 {
   DropExpired(aNow);
   // What expired may have been placed anew, here.
   if (mWaiting.empty() || !aLink.Usable(aNow)) {
-    return false;
+    return;
   }
   const leaf_attempt_ptr attempt = mWaiting.front();
   mWaiting.pop_front();
   aLink.Send(attempt, aNow);
-  return true;
 }
 
 void
@@ -124,14 +128,14 @@
       return aLink->Connecting();
     });
   if (static_cast<std::size_t>(connecting) < mWaiting.size() &&
-      mLinks.size() < std::max<std::size_t>(1, mShare) && !mRetired &&
+      mLinks.size() < std::max<std::size_t>(1, mShare.mMost) && !mRetired &&
       !mLoad.Refuses(aNow) && aNow >= mCappedUntil) {
-    Open(aNow);
+    Open();
   }
 }
 
 void
-leaf_peer::Open(model::instant /*aNow*/)
+leaf_peer::Open()
 {
   mObserver.OnLinkOpened(*this);
   mLinks.push_back(
@@ -157,11 +161,12 @@
     Retire();
     return;
   }
-  if (mShare == 0) {
-    CloseReserve(aNow);
+  if (!mShare.mKeptOpen) {
+    CloseIdle(aNow);
   }
-  if (aWarm && mLinks.empty() && TakesWork(aNow) && !mLoad.Refuses(aNow)) {
-    Open(aNow);
+  if (aWarm && mShare.mKeptOpen && mLinks.empty() && aNow >= mOpensAheadFrom &&
+      TakesWork(aNow) && !mLoad.Refuses(aNow)) {
+    Open();
   }
   Dispatch(aNow);
 }
@@ -183,11 +188,11 @@
 }
 
 void
-leaf_peer::CloseReserve(model::instant aNow)
+leaf_peer::CloseIdle(model::instant aNow)
 {
   std::vector<leaf_link*> idle;
   for (const auto& link : mLinks) {
-    if (link->IdleFor(aNow) > kReserveIdle) {
+    if (link->IdleFor(aNow) > kSharedIdle) {
       idle.push_back(link.get());
     }
   }
@@ -253,7 +258,9 @@
     mObserver.OnLinkLost(*this, aReason);
   }
   const model::instant now = event_loop::Now();
-  if (aEnd == link_end::Capped) {
+  if (aEnd == link_end::Rested) {
+    mOpensAheadFrom = now + mOpensAheadAfter;
+  } else if (aEnd == link_end::Capped) {
     // Others hold its connections, or machines without power seem to.
     if (!mProbes) {
       mCappedUntil = now + kCapPause;
@@ -263,24 +270,33 @@
     mLoad.OnRefused(now);
     Settle(mDeaths.OnRefused());
   }
-  if (aEnd != link_end::Ended && mLinks.empty()) {
+  const bool useless = aEnd == link_end::Capped || aEnd == link_end::Refused;
+  if (useless && mLinks.empty()) {
     FailWaiting(aReason);
   }
 }
 
 void
 leaf_peer::OnAttemptDone(const leaf_attempt& aAttempt,
-                         attempt_end aEnd,
-                         model::instant aNow)
+                         const attempt_outcome& aOutcome)
 {
+  const auto& [end, useful, at] = aOutcome;
   std::optional<model::duration> work;
-  if (aEnd != attempt_end::NotRun && aAttempt.mSent) {
-    work = aNow - *aAttempt.mSent - mLoad.RoundTrip();
+  if (aAttempt.mSent) {
+    work = at - *aAttempt.mSent - mLoad.RoundTrip();
   }
-  if (aEnd == attempt_end::Answered || aEnd == attempt_end::NotRun) {
-    mLoad.OnAnswer(aAttempt.mQueued, work, aAttempt.mUsualWork, aNow);
+  std::optional<model::duration> excess;
+  if (end == attempt_end::Answered && useful) {
+    excess = mLoad.OnAnswer(aAttempt.mQueued, work, aAttempt.mUsualWork, at);
+  } else if (end == attempt_end::Answered || end == attempt_end::NotRun) {
+    mLoad.OnUseless(aAttempt.mQueued, at);
+    mObserver.OnUseless(*this);
   } else {
-    mLoad.OnDropped(aAttempt.mQueued, work, aAttempt.mUsualWork, aNow);
+    excess = mLoad.OnDropped(aAttempt.mQueued, work, aAttempt.mUsualWork, at);
+  }
+  if (excess &&
+      *excess > std::max<model::duration>(aAttempt.mUsualWork, kLeastTold)) {
+    mObserver.OnSlow(*this, *excess);
   }
 }
 
--- a/src/gateway/leaf_peer_base.h
+++ b/src/gateway/leaf_peer_base.h
@@ -9,6 +9,7 @@
 #include "once/death_watch_base.h"
 #include "serving/leaf_entry_type.h"
 #include "serving/leaf_load_base.h"
+#include "serving/link_split_func.h"
 
 #include <deque>
 #include <memory>
@@ -27,6 +28,7 @@
   Refused, ///< It could not be made.
   Capped,  ///< It was made but never of use: a leaf at its limit of
            ///< connections accepts further ones and resets them.
+  Rested,  ///< The leaf closed it after a time without requests.
   Ended,   ///< It had been of use.
 };
 
@@ -34,10 +36,15 @@
 class leaf_peer
 {
 public:
+  /**
+   * @param aOpensAheadAfter Pause before an unused connection that the leaf
+   * has closed is opened again without work.
+   */
   leaf_peer(event_loop& aLoop,
             const header_names& aNames,
             leaf_observer& aObserver,
-            serving::leaf_entry aEntry);
+            serving::leaf_entry aEntry,
+            model::duration aOpensAheadAfter);
   ~leaf_peer();
   leaf_peer(const leaf_peer&) = delete;
   leaf_peer& operator=(const leaf_peer&) = delete;
@@ -46,9 +53,9 @@
 
   const serving::leaf_entry& Entry() const { return mEntry; }
   void Update(const serving::leaf_entry& aEntry, model::instant aNow);
-  /** 0: a reserve that gets one connection if its replicas fail. */
-  void SetShare(std::size_t aLinks) { mShare = aLinks; }
-  std::size_t Share() const { return mShare; }
+  /** Most 0: a reserve that gets one connection if its replicas fail. */
+  void SetShare(const serving::link_share& aShare) { mShare = aShare; }
+  const serving::link_share& Share() const { return mShare; }
   /** It may be given new work. */
   bool TakesWork(model::instant aNow) const
   {
@@ -63,7 +70,7 @@
   void Submit(leaf_attempt_ptr aAttempt, model::instant aNow);
   /** Sends what waits, opens connections up to the share. */
   void Dispatch(model::instant aNow);
-  /** @param aWarm Keep a connection open without work. */
+  /** @param aWarm Connections may be opened ahead of work. */
   void OnTick(bool aWarm, model::instant aNow);
   /** No new work; connections close as they become free. */
   void Retire();
@@ -74,19 +81,25 @@
   // For the links.
   void OnLinkConnected(model::duration aRoundTrip, model::instant aNow);
   void OnLinkClosed(leaf_link& aLink, link_end aEnd, const char* aReason);
+  /** How an attempt on a link ended. */
+  struct attempt_outcome
+  {
+    attempt_end mEnd;
+    bool mUseful; ///< An answer that is no failure.
+    model::instant mAt;
+  };
   void OnAttemptDone(const leaf_attempt& aAttempt,
-                     attempt_end aEnd,
-                     model::instant aNow);
+                     const attempt_outcome& aOutcome);
   /** A connection died under a request: the leaf may have. */
   void OnDiedWith(const leaf_attempt& aAttempt, model::instant aNow);
   void OnMisdirected() { mMisdirected = true; }
   bool Has(const leaf_link& aLink) const;
 
 private:
-  void Open(model::instant aNow);
-  bool TakeWaiting(leaf_link& aLink, model::instant aNow);
+  void Open();
+  void TakeWaiting(leaf_link& aLink, model::instant aNow);
   void DropExpired(model::instant aNow);
-  void CloseReserve(model::instant aNow);
+  void CloseIdle(model::instant aNow);
   void Settle(const once::settled_suspicions& aSettled);
 
   event_loop& mLoop;
@@ -94,12 +107,14 @@
   leaf_observer& mObserver;
   serving::leaf_entry mEntry;
   serving::leaf_load mLoad;
-  std::size_t mShare = 1;
+  model::duration mOpensAheadAfter; ///< Different for each instance.
+  serving::link_share mShare{ 1, true };
   bool mMisdirected = false; ///< Another leaf answers at its address.
   bool mRetired = false;
   bool mProbes = false; ///< A connection died under a request.
   once::death_watch mDeaths;
   model::instant mCappedUntil;
+  model::instant mOpensAheadFrom; ///< After the leaf closed what was idle.
   std::vector<std::unique_ptr<leaf_link>> mLinks;
   std::deque<leaf_attempt_ptr> mWaiting; ///< Earliest due first.
 };
@@ -118,6 +133,9 @@
   leaf_observer& operator=(leaf_observer&&) = delete;
 
   virtual void OnLinkOpened(const leaf_peer& aLeaf) = 0;
+  /** An answer took so much more than usual. */
+  virtual void OnSlow(const leaf_peer& aLeaf, model::duration aExcess) = 0;
+  virtual void OnUseless(const leaf_peer& aLeaf) = 0; ///< It refused or failed.
   /** The leaf died with a request that may have killed it. */
   virtual void OnLeafDied(const leaf_peer& aLeaf,
                           const once::suspicion& aSuspicion) = 0;
--- a/src/gateway/leaf_table.cpp
+++ b/src/gateway/leaf_table.cpp
@@ -4,6 +4,7 @@
  */
 #include "gateway/leaf_table_base.h"
 
+#include "cluster/rendezvous_func.h"
 #include "gateway/event_loop_base.h"
 #include "serving/link_split_func.h"
 
@@ -15,6 +16,19 @@
 
 /** How long peers avoid a leaf on this instance's word; renewed each round. */
 constexpr std::uint32_t kSuspicionMs = 350;
+/** Connections that rested equally long end at the same moment everywhere; all
+ * instances open theirs again within this time. At a leaf with as many
+ * connections as it accepts, that takes a small part of its work. */
+constexpr std::chrono::milliseconds kOpensAheadWithin{ 2'000 };
+
+model::duration
+OpensAheadAfter(const std::string& aSelf, const std::string& aLeaf)
+{
+  const std::uint64_t weight =
+    cluster::RendezvousWeight(cluster::HashOf(aLeaf), cluster::HashOf(aSelf));
+  return std::chrono::milliseconds(
+    weight % static_cast<std::uint64_t>(kOpensAheadWithin.count()));
+}
 
 } // namespace
 
@@ -63,7 +77,8 @@
       continue;
     }
     Remove(entry.mId);
-    auto leaf = std::make_shared<leaf_peer>(mLoop, mNames, mObserver, entry);
+    auto leaf = std::make_shared<leaf_peer>(
+      mLoop, mNames, mObserver, entry, OpensAheadAfter(mSelf, entry.mId));
     leaf->Load().SetElsewhere(entry.mDataCentre != mDataCentre);
     mByService[entry.mService].push_back(leaf);
     mById.emplace(entry.mId, std::move(leaf));
@@ -72,7 +87,7 @@
 
 void
 leaf_table::SetShares(const serving::routing_config* aConfig,
-                      std::size_t aInstances)
+                      const serving::fleet_size& aInstances)
 {
   for (const auto& [service, leaves] : mByService) {
     std::vector<serving::leaf_limit> limits;
@@ -80,7 +95,8 @@
       limits.push_back(
         { leaf->Entry().mId,
           aConfig == nullptr ? 1 : aConfig->MaxConnections(service),
-          leaf->Entry().mSlots });
+          leaf->Entry().mSlots,
+          leaf->Entry().mDataCentre != mDataCentre });
     }
     const auto shares = serving::SplitLinks(mSelf, limits, aInstances);
     for (std::size_t place = 0; place < leaves.size(); ++place) {
@@ -113,7 +129,7 @@
     all.push_back(leaf);
   }
   for (const leaf_peer_ptr& leaf : all) {
-    leaf->OnTick(aConfig != nullptr && leaf->Share() > 0, aNow);
+    leaf->OnTick(aConfig != nullptr, aNow);
   }
   for (const leaf_peer_ptr& leaf : mRetired) {
     leaf->OnTick(false, aNow);
--- a/src/gateway/leaf_table_base.h
+++ b/src/gateway/leaf_table_base.h
@@ -40,7 +40,7 @@
              model::instant aNow);
   /** @param aInstances That hold connections, lately lost ones included. */
   void SetShares(const serving::routing_config* aConfig,
-                 std::size_t aInstances);
+                 const serving::fleet_size& aInstances);
   const leaf_list& Of(const std::string& aService) const;
   leaf_peer* Find(const std::string& aId);
   void OnTick(const serving::routing_config* aConfig, model::instant aNow);
--- a/src/gateway/query_run.cpp
+++ b/src/gateway/query_run.cpp
@@ -155,8 +155,9 @@
                      shard.mTried.end(),
                      aLeaf.Entry().mId) == shard.mTried.end();
   };
-  const bool found = admit(
-    [&](const leaf_peer& aLeaf) { return aLeaf.Share() > 0 && fresh(aLeaf); });
+  const bool found = admit([&](const leaf_peer& aLeaf) {
+    return aLeaf.Share().mMost > 0 && fresh(aLeaf);
+  });
   if (!found && !admit(fresh) && !aFreshOnly) {
     admit([](const leaf_peer&) { return true; });
   }
@@ -230,7 +231,7 @@
   bool mayHaveRun = false;
   switch (aResult.mEnd) {
     case attempt_end::Answered:
-      mPlan.mLatency->Add(now - *aAttempt.mSent, now);
+      mPlan.mLatency->Add(aResult.mArrived - *aAttempt.mSent, now);
       OnAnswer(shard, std::move(aResult.mAnswer));
       if (shard.mAnswered) {
         Evaluate(now);
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -59,6 +59,7 @@
     if (self == nullptr || aCount == 0) {
       return;
     }
+    self->mLoop.NoteEvent();
     if (aCount > 0) {
       self->mHandler->OnBytes(
         { aBuffer->base, static_cast<std::size_t>(aCount) });
@@ -95,6 +96,7 @@
     tcp_stream* self = Of(aRequest->handle);
     delete aRequest;
     if (self != nullptr) {
+      self->mLoop.NoteEvent();
       self->mHandler->OnConnected(aStatus == 0);
     }
   }
@@ -106,7 +108,8 @@
 };
 
 tcp_stream::tcp_stream(event_loop& aLoop)
-  : mHandle(new uv_tcp_t())
+  : mLoop(aLoop)
+  , mHandle(new uv_tcp_t())
 {
   uv_tcp_init(aLoop.Get(), mHandle);
   mHandle->data = this;
--- a/src/gateway/tcp_stream_base.h
+++ b/src/gateway/tcp_stream_base.h
@@ -66,6 +66,7 @@
 
   stream_handler* mHandler = nullptr;
   bool mReset = false;
+  event_loop& mLoop;
   uv_tcp_t* mHandle;
 };
 
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -12,7 +12,7 @@
 
 using json = nlohmann::json;
 
-constexpr int kFormat = 1; ///< First element of each message.
+constexpr int kFormat = 2; ///< First element of each message.
 
 json
 ToArray(const fleet_member& aMember)
@@ -83,6 +83,12 @@
   return json::array({ aSuspicion.mLeaf, aSuspicion.mForMs });
 }
 
+json
+ToArray(const leaf_observation& aObservation)
+{
+  return json::array({ aObservation.mLeaf, aObservation.mExcessMs });
+}
+
 json
 ToArray(const directory_delta& aDelta);
 json
@@ -159,7 +165,8 @@
                             aMessage.mWantsReply,
                             ToArrays(aMessage.mSuspects),
                             ToArrays(aMessage.mDeltas),
-                            ToArrays(aMessage.mDeaths) }));
+                            ToArrays(aMessage.mDeaths),
+                            ToArrays(aMessage.mObservations) }));
 }
 
 std::optional<fleet_message>
@@ -179,6 +186,11 @@
       message.mSuspects.push_back({ suspect.at(0).get<std::string>(),
                                     suspect.at(1).get<std::uint32_t>() });
     }
+    for (const json& observation : value->at(6)) {
+      message.mObservations.push_back(
+        { observation.at(0).get<std::string>(),
+          observation.at(1).get<std::uint32_t>() });
+    }
     for (const json& delta : value->at(4)) {
       message.mDeltas.push_back(ToDelta(delta));
     }
--- /dev/null
+++ b/src/serving/fleet_size_type.h
@@ -0,0 +1,23 @@
+/**
+ * @file fleet_size_type.h
+ * How many instances share leaves and budgets.
+ */
+#ifndef MONSOONCROFT_SERVING_FLEET_SIZE_TYPE_H
+#define MONSOONCROFT_SERVING_FLEET_SIZE_TYPE_H
+
+#include <cstddef>
+
+namespace monsooncroft::serving {
+
+/** Instances that may hold connections or spend budget, this one included. */
+struct fleet_size
+{
+  std::size_t mAll = 1;
+  std::size_t mOwnDataCentre = 1;
+
+  bool operator==(const fleet_size&) const = default;
+};
+
+} // namespace monsooncroft::serving
+
+#endif
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -46,6 +46,15 @@
   bool operator==(const leaf_suspicion&) const = default;
 };
 
+/** An answer that took longer than usual, or was of no use. */
+struct leaf_observation
+{
+  std::string mLeaf;
+  std::uint32_t mExcessMs = 0; ///< 0 for one that was of no use.
+
+  bool operator==(const leaf_observation&) const = default;
+};
+
 /** One datagram between instances. */
 struct fleet_message
 {
@@ -54,6 +63,7 @@
   std::vector<leaf_suspicion> mSuspects;
   std::vector<directory_delta> mDeltas;  ///< None or one.
   std::vector<once::death_mark> mDeaths; ///< Of leaves, with the request.
+  std::vector<leaf_observation> mObservations;
 
   bool operator==(const fleet_message&) const = default;
 };
--- a/src/serving/fleet_view.cpp
+++ b/src/serving/fleet_view.cpp
@@ -36,13 +36,22 @@
   std::erase_if(mKnown, [&](const auto& aEntry) {
     return aNow - aEntry.second.mHeard > mTerms.mCountedFor;
   });
+  std::vector<fleet_member> live = Live(aNow);
+  std::shuffle(live.begin(), live.end(), mRandom);
+  if (live.size() > mTerms.mFanout) {
+    // Bytes between data centres are dear: most of the news goes to near ones.
+    std::stable_partition(
+      live.begin() + 1, live.end(), [this](const fleet_member& aMember) {
+        return aMember.mDataCentre == mSelf.mDataCentre;
+      });
+    live.resize(mTerms.mFanout);
+  }
+  const bool alone = live.empty();
   std::vector<model::endpoint> targets;
-  for (const fleet_member& member : Live(aNow)) {
+  targets.reserve(live.size());
+  for (const fleet_member& member : live) {
     targets.push_back(member.mPeer);
   }
-  std::shuffle(targets.begin(), targets.end(), mRandom);
-  const bool alone = targets.empty();
-  targets.resize(std::min(targets.size(), mTerms.mFanout));
   if (!mSeeds.empty()) {
     // All seeds while nobody is known, one otherwise: two halves of a fleet
     // that lost each other meet again there.
@@ -112,14 +121,18 @@
   return live;
 }
 
-std::size_t
+fleet_size
 fleet_view::CountedInstances(model::instant aNow) const
 {
-  std::size_t count = 1;
+  fleet_size size;
   for (const auto& [name, known] : mKnown) {
-    count += aNow - known.mHeard <= mTerms.mCountedFor ? 1 : 0;
+    if (aNow - known.mHeard <= mTerms.mCountedFor) {
+      ++size.mAll;
+      size.mOwnDataCentre +=
+        known.mMember.mDataCentre == mSelf.mDataCentre ? 1 : 0;
+    }
   }
-  return count;
+  return size;
 }
 
 std::size_t
--- a/src/serving/fleet_view_base.h
+++ b/src/serving/fleet_view_base.h
@@ -6,6 +6,7 @@
 #define MONSOONCROFT_SERVING_FLEET_VIEW_BASE_H
 
 #include "model/time_type.h"
+#include "serving/fleet_size_type.h"
 #include "serving/fleet_type.h"
 
 #include <map>
@@ -18,7 +19,8 @@
 struct fleet_terms
 {
   std::chrono::milliseconds mPeriod{ 250 }; ///< Between two rounds.
-  std::size_t mFanout = 3;                  ///< Members told in each round.
+  std::size_t mFanout = 3;                  ///< Members told in each round;
+                                            ///< one of them anywhere.
   std::size_t mMembersPerMessage = 16;      ///< So that it fits a datagram.
   std::chrono::milliseconds mSilentAfter{ 1'500 }; ///< Then it counts as gone.
   std::chrono::milliseconds mCountedFor{ 15'000 }; ///< It may still hold
@@ -60,7 +62,7 @@
   /** Members heard of lately, without this one. */
   std::vector<fleet_member> Live(model::instant aNow) const;
   /** This one and all that may still hold connections or spend budget. */
-  std::size_t CountedInstances(model::instant aNow) const;
+  fleet_size CountedInstances(model::instant aNow) const;
   /**
    * Place of this instance among those that reach the store; the first ones
    * call it for all.
--- a/src/serving/leaf_load.cpp
+++ b/src/serving/leaf_load.cpp
@@ -12,6 +12,13 @@
 namespace {
 
 constexpr std::chrono::milliseconds kMostExcess{ 1'000 }; ///< Of one answer.
+/** What a refusal or failure is taken for: about what trying again elsewhere
+ * costs the caller. */
+constexpr std::chrono::milliseconds kUselessCost{ 100 };
+constexpr double kUselessWeight = 1.0 / 3; ///< Of an answer in the mean.
+/** Without answers it is half forgotten after this: shorter than faults last,
+ * so that a leaf that has recovered gets work again. */
+constexpr double kUselessForgetSeconds = 1.0;
 constexpr int kSampleDivisor = 4; ///< An answer's weight in the mean.
 /** An observed excess is half forgotten after such a time without answers,
  * so that a leaf that has recovered is tried again. */
@@ -67,7 +74,7 @@
   mExcessAt = aNow;
 }
 
-void
+std::optional<model::duration>
 leaf_load::OnDropped(model::instant aQueued,
                      std::optional<model::duration> aAtLeast,
                      model::duration aUsualWork,
@@ -79,12 +86,14 @@
     mConnected = false;
     mFailed = true;
   }
-  if (aAtLeast && *aAtLeast - aUsualWork > Excess(aNow)) {
-    Learn(*aAtLeast - aUsualWork, aNow);
+  if (!aAtLeast || *aAtLeast - aUsualWork <= Excess(aNow)) {
+    return std::nullopt;
   }
+  Learn(*aAtLeast - aUsualWork, aNow);
+  return *aAtLeast - aUsualWork;
 }
 
-void
+std::optional<model::duration>
 leaf_load::OnAnswer(model::instant aQueued,
                     std::optional<model::duration> aWork,
                     model::duration aUsualWork,
@@ -98,8 +107,48 @@
   mRefusesUntil = model::instant();
   mPeerSuspectUntil = model::instant();
   if (aWork) {
-    Learn(*aWork - aUsualWork, aNow);
+    mUselessShare = UselessShare(aNow) * (1 - kUselessWeight);
+    mUselessAt = aNow;
+    // The first connections may have waited for slots; an answer's time bounds
+    // what the way alone can take.
+    const auto whole = *aWork + mRoundTrip;
+    mRoundTrip = std::max(std::min(mRoundTrip, whole), kLeastRoundTrip);
+    const auto excess = whole - mRoundTrip - aUsualWork;
+    Learn(excess, aNow);
+    return excess;
   }
+  return std::nullopt;
+}
+
+void
+leaf_load::OnUseless(model::instant aQueued, model::instant aNow)
+{
+  // It answers, at least.
+  static_cast<void>(OnAnswer(aQueued, std::nullopt, {}, aNow));
+  LearnUseless(aNow);
+}
+
+void
+leaf_load::LearnUseless(model::instant aNow)
+{
+  const double known = UselessShare(aNow);
+  mUselessShare = known + (1 - known) * kUselessWeight;
+  mUselessAt = aNow;
+}
+
+double
+leaf_load::UselessShare(model::instant aNow) const
+{
+  const double age = std::chrono::duration<double>(aNow - mUselessAt).count();
+  return mUselessShare * std::exp2(-std::max(0.0, age) / kUselessForgetSeconds);
+}
+
+model::duration
+leaf_load::CostOfFailures(model::instant aNow) const
+{
+  return model::duration(static_cast<model::duration::rep>(
+    UselessShare(aNow) *
+    static_cast<double>(model::duration(kUselessCost).count())));
 }
 
 void
@@ -213,7 +262,8 @@
     if (candidate == nullptr) {
       continue;
     }
-    const auto expected = candidate->ExpectedLatency(aUsualWork, aNow);
+    const auto expected = candidate->ExpectedLatency(aUsualWork, aNow) +
+                          candidate->CostOfFailures(aNow);
     if (!best || expected < least) {
       best = place;
       least = expected;
--- a/src/serving/leaf_load_base.h
+++ b/src/serving/leaf_load_base.h
@@ -29,23 +29,35 @@
    * @param aWork Time at the leaf without the way; nothing if the answer tells
    * no speed.
    * @param aUsualWork The route's mean.
+   * @return What it took beyond the usual.
    */
-  void OnAnswer(model::instant aQueued,
-                std::optional<model::duration> aWork,
-                model::duration aUsualWork,
-                model::instant aNow);
+  std::optional<model::duration> OnAnswer(model::instant aQueued,
+                                          std::optional<model::duration> aWork,
+                                          model::duration aUsualWork,
+                                          model::instant aNow);
   /**
    * It ended without an answer.
    * @param aAtLeast Time that it had been at the leaf, which the answer would
    * have exceeded; nothing if that tells no speed.
+   * @return What it took beyond the usual, if it tells something new.
    */
-  void OnDropped(model::instant aQueued,
-                 std::optional<model::duration> aAtLeast,
-                 model::duration aUsualWork,
-                 model::instant aNow);
+  std::optional<model::duration> OnDropped(
+    model::instant aQueued,
+    std::optional<model::duration> aAtLeast,
+    model::duration aUsualWork,
+    model::instant aNow);
   void OnRefused(model::instant aNow); ///< No connection could be made, or
                                        ///< all of them were reset.
   void OnConnected(model::duration aRoundTrip, model::instant aNow);
+  /** The leaf turned it down or failed. */
+  void OnUseless(model::instant aQueued, model::instant aNow);
+  /** A peer had such an answer. */
+  void OnPeerUseless(model::instant aNow) { LearnUseless(aNow); }
+  /** A peer had an answer that took so much longer than usual. */
+  void OnPeerSample(model::duration aExcess, model::instant aNow)
+  {
+    Learn(aExcess, aNow);
+  }
   /** A peer has seen the leaf stand still or refuse, until about then. */
   void OnPeerSuspicion(model::instant aUntil);
   void SetColdUntil(model::instant aUntil) { mColdUntil = aUntil; }
@@ -68,19 +80,25 @@
   model::instant RefusesUntil() const { return mRefusesUntil; }
   /** What its answers take beyond the usual, by its speed and its queue. */
   model::duration Excess(model::instant aNow) const;
-  /** Expected time from sending to the answer. */
+  /** What its refusals and failures make an attempt longer on average. */
+  model::duration CostOfFailures(model::instant aNow) const;
+  /** Expected time from sending to the answer, if it is one. */
   model::duration ExpectedLatency(model::duration aUsualWork,
                                   model::instant aNow) const;
 
 private:
   void Forget(model::instant aQueued);
   void Learn(model::duration aSample, model::instant aNow);
+  void LearnUseless(model::instant aNow);
+  double UselessShare(model::instant aNow) const;
 
   std::vector<model::instant> mOutstanding; ///< Oldest first.
   model::duration mRoundTrip{ 0 };          ///< 0: not measured.
   model::duration mExcess{ 0 };
   model::instant mExcessAt;
   model::duration mLastSample{ 0 };
+  double mUselessShare = 0; ///< Of its answers, weighted by age.
+  model::instant mUselessAt;
   std::optional<model::instant> mLastAnswer;
   model::instant mColdUntil;
   model::instant mRefusesUntil;
--- a/src/serving/link_split.cpp
+++ b/src/serving/link_split.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace monsooncroft::serving {
 
@@ -23,41 +24,51 @@
 
 } // namespace
 
-std::vector<std::size_t>
+std::vector<link_share>
 SplitLinks(const std::string& aSelf,
            const std::vector<leaf_limit>& aReplicas,
-           std::size_t aInstances)
+           const fleet_size& aInstances)
 {
-  std::vector<std::size_t> shares;
-  const int instances = static_cast<int>(std::max<std::size_t>(1, aInstances));
+  std::vector<link_share> shares;
+  const int instances =
+    static_cast<int>(std::max<std::size_t>(1, aInstances.mAll));
   double all = 0;
+  double near = 0;
   bool enough = true;
   for (const leaf_limit& replica : aReplicas) {
     const int share =
       policy::ShareOf(replica.mMostConnections, instances).mSteady;
     enough = enough && share > 0;
     all += replica.mMostConnections;
-    shares.push_back(static_cast<std::size_t>(
-      std::clamp(share, 1, std::max(1, kMostLinksPerSlot * replica.mSlots))));
+    near += replica.mElsewhere ? 0 : replica.mMostConnections;
+    shares.push_back(
+      { static_cast<std::size_t>(std::clamp(
+          share, 1, std::max(1, kMostLinksPerSlot * replica.mSlots))),
+        true });
   }
   if (enough) {
     return shares;
   }
+  // A data centre with few replicas for its instances cannot prefer them.
+  const bool nearFirst =
+    kDealt * near >= static_cast<double>(aInstances.mOwnDataCentre);
   const std::uint64_t self = cluster::HashOf(aSelf);
   std::vector<std::size_t> order(aReplicas.size());
   std::iota(order.begin(), order.end(), 0);
   std::sort(
     order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
-      const auto weight = [&](std::size_t aPlace) {
-        return cluster::RendezvousWeight(
-          cluster::HashOf(aReplicas[aPlace].mLeaf), self);
+      const auto key = [&](std::size_t aPlace) {
+        return std::make_pair(
+          nearFirst && !aReplicas[aPlace].mElsewhere,
+          cluster::RendezvousWeight(cluster::HashOf(aReplicas[aPlace].mLeaf),
+                                    self));
       };
-      return weight(aLeft) > weight(aRight);
+      return key(aLeft) > key(aRight);
     });
-  const auto taken = std::max<std::size_t>(
-    1, static_cast<std::size_t>(kDealt * all / instances));
+  // Too few for one each: connections change hands as there is work.
+  const bool kept = kDealt * all >= instances;
   for (std::size_t rank = 0; rank < order.size(); ++rank) {
-    shares[order[rank]] = rank < taken ? 1 : 0;
+    shares[order[rank]] = { 1, kept && rank == 0 };
   }
   return shares;
 }
--- /dev/null
+++ b/test/gateway/event_loop_test.cpp
@@ -0,0 +1,58 @@
+/**
+ * @file event_loop_test.cpp
+ * When an event came in, on an instance that is slow to get to it.
+ */
+#include "gateway/event_loop_base.h"
+#include "gateway/loop_timer_base.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace monsooncroft::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(EventLoop, WhatWaitedBehindOtherEventsCameInBeforeThem)
+{
+  event_loop loop;
+  model::instant first;
+  model::instant arrived;
+  model::instant handled;
+  loop_timer busy(loop, [&] {
+    loop.NoteEvent();
+    first = event_loop::Now();
+    std::this_thread::sleep_for(milliseconds(30));
+  });
+  loop_timer late(loop, [&] {
+    loop.NoteEvent();
+    arrived = loop.Arrived();
+    handled = event_loop::Now();
+    loop.Stop();
+  });
+  busy.Start(milliseconds(10));
+  late.Start(milliseconds(10));
+  loop.Run();
+  EXPECT_LE(arrived, first);
+  EXPECT_GE(handled - arrived, milliseconds(30));
+}
+
+TEST(EventLoop, WhatEndsTheWaitCameInJustNow)
+{
+  event_loop loop;
+  model::duration ago{ 0 };
+  const model::instant begun = event_loop::Now();
+  loop_timer timer(loop, [&] {
+    loop.NoteEvent();
+    ago = loop.Arrived() - begun;
+    loop.Stop();
+  });
+  timer.Start(milliseconds(20));
+  loop.Run();
+  // A timer may end up to a millisecond early.
+  EXPECT_GE(ago, milliseconds(19));
+}
+
+} // namespace
+} // namespace monsooncroft::gateway
--- a/test/gateway/fake_leaf.h
+++ b/test/gateway/fake_leaf.h
@@ -62,6 +62,13 @@
       }
     }
     void Close() { mStream.reset(); }
+    /** Ends the connection in order, as a leaf does with one that rests. */
+    void ShutDown()
+    {
+      if (mStream) {
+        mStream->ShutDown();
+      }
+    }
     bool Ended() const { return !mStream; }
     void Reset()
     {
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -306,6 +306,23 @@
   EXPECT_EQ(other.mRequests, 1);
 }
 
+/** Seen on the bench: taken for a leaf at its limit, it got no connection for
+ * a second, and at all leaves at once. */
+TEST_F(instance_test, ALeafThatClosesUnusedConnectionsIsNotAtItsLimit)
+{
+  auto& leaf = AddLeaf("plain", [](auto& aLink, const auto& aRequest) {
+    aLink.Write(Proper(aRequest, "s", "x"));
+  });
+  AddPlain(serving::repeatability::RunOnce);
+  Start();
+  Spin(milliseconds(1'100));
+  for (const auto& link : leaf.mLinks) {
+    link->ShutDown();
+  }
+  Spin(milliseconds(20));
+  EXPECT_EQ(Ask("/one/x", "r1").mStatus, 200);
+}
+
 TEST_F(instance_test, AnswersToOtherRequestsNeverReachTheCaller)
 {
   AddLeaf("plain", [](auto& aLink, const auto& aRequest) {
--- /dev/null
+++ b/test/serving/shared_learning_test.cpp
@@ -0,0 +1,140 @@
+/**
+ * @file shared_learning_test.cpp
+ * Instances that see less than one request a second each, in virtual time:
+ * what one learns of a leaf has to reach the others.
+ */
+#include "serving/leaf_load_base.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <random>
+
+namespace monsooncroft::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kInstances = 28; ///< Of one data centre.
+constexpr std::size_t kReplicas = 3;   ///< The first in that data centre.
+constexpr std::size_t kPerSecond = 17; ///< Requests of all instances.
+constexpr milliseconds kWork{ 8 };
+constexpr milliseconds kWayElsewhere{ 3 };
+constexpr milliseconds kToldAfter{ 50 };
+
+/** What is wrong with the near replica. */
+struct trouble
+{
+  milliseconds mWork{ 8 };
+  double mRefused = 0; ///< Share of its requests.
+};
+
+/** Of the requests of ten seconds, the share that met the trouble. */
+double
+ShareThatMetIt(const trouble& aTrouble, bool aTold)
+{
+  struct told
+  {
+    model::instant mAt;
+    std::size_t mBy;
+    std::size_t mLeaf;
+    model::duration mExcess; ///< None: of no use.
+  };
+  std::array<std::array<leaf_load, kReplicas>, kInstances> loads;
+  std::vector<told> news;
+  std::mt19937 random(7);
+  model::instant now{ seconds(100) };
+  for (auto& own : loads) {
+    for (std::size_t leaf = 0; leaf < kReplicas; ++leaf) {
+      own[leaf].OnConnected(leaf == 0 ? milliseconds(1) : kWayElsewhere, now);
+      own[leaf].SetElsewhere(leaf != 0);
+    }
+  }
+  int met = 0;
+  constexpr int kRequests = kPerSecond * 10;
+  for (int request = 0; request < kRequests; ++request) {
+    now += model::duration(seconds(1)) / kPerSecond;
+    std::erase_if(news, [&](const told& aTold2) {
+      if (aTold2.mAt + kToldAfter > now) {
+        return false;
+      }
+      for (std::size_t other = 0; other < kInstances && aTold; ++other) {
+        if (other == aTold2.mBy) {
+          continue;
+        }
+        leaf_load& load = loads[other][aTold2.mLeaf];
+        if (aTold2.mExcess.count() == 0) {
+          load.OnPeerUseless(aTold2.mAt);
+        } else {
+          load.OnPeerSample(aTold2.mExcess, aTold2.mAt);
+        }
+      }
+      return true;
+    });
+    const std::size_t by = random() % kInstances;
+    auto& own = loads[by];
+    const auto leaf = *ChooseReplica(
+      { own.data(), own.data() + 1, own.data() + 2 }, kWork, random(), now);
+    const bool near = leaf == 0;
+    const bool refused =
+      near && static_cast<double>(random() % 1'000) < 1'000 * aTrouble.mRefused;
+    const auto work = near ? aTrouble.mWork : kWork;
+    met += refused || work > 2 * kWork ? 1 : 0;
+    const model::instant end = now + own[leaf].RoundTrip() + work;
+    own[leaf].OnSent(now);
+    if (refused) {
+      own[leaf].OnUseless(now, end);
+      news.push_back({ end, by, leaf, {} });
+      continue;
+    }
+    const auto excess = own[leaf].OnAnswer(now, work, kWork, end);
+    if (excess && *excess > kWork) {
+      news.push_back({ end, by, leaf, *excess });
+    }
+  }
+  return static_cast<double>(met) / kRequests;
+}
+
+TEST(SharedLearning, ASlowLeafIsAvoidedByAllSoonAfterOneHasSeenIt)
+{
+  const trouble slow{ milliseconds(70), 0 };
+  EXPECT_GT(ShareThatMetIt(slow, false), 0.6);
+  EXPECT_LT(ShareThatMetIt(slow, true), 0.2);
+}
+
+TEST(SharedLearning, ALeafThatRefusesMostOfItsWorkIsAvoidedByAll)
+{
+  const trouble refusing{ kWork, 0.6 };
+  EXPECT_GT(ShareThatMetIt(refusing, false), 0.25);
+  EXPECT_LT(ShareThatMetIt(refusing, true), 0.1);
+}
+
+TEST(SharedLearning, ARefusalMakesNoShardLate)
+{
+  leaf_load leaf;
+  const model::instant now{ seconds(100) };
+  leaf.OnConnected(milliseconds(1), now);
+  for (int refusal = 0; refusal < 5; ++refusal) {
+    leaf.OnSent(now);
+    leaf.OnUseless(now, now);
+  }
+  EXPECT_GT(leaf.CostOfFailures(now), milliseconds(80));
+  EXPECT_LT(leaf.ExpectedLatency(kWork, now), milliseconds(10));
+  EXPECT_LT(leaf.CostOfFailures(now + seconds(8)), milliseconds(1));
+}
+
+/** The first connections of many instances wait for the leaf's slots. */
+TEST(SharedLearning, AnAnswerBoundsTheWayThere)
+{
+  leaf_load leaf;
+  const model::instant now{ seconds(100) };
+  leaf.OnConnected(milliseconds(40), now);
+  leaf.OnSent(now);
+  static_cast<void>(leaf.OnAnswer(
+    now, milliseconds(11) - leaf.RoundTrip(), kWork, now + milliseconds(11)));
+  EXPECT_LE(leaf.RoundTrip(), milliseconds(11));
+}
+
+} // namespace
+} // namespace monsooncroft::serving
