--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -164,11 +164,11 @@
   hooks.mOnObservation = [this](const serving::leaf_observation& aSeen) {
     if (leaf_peer* leaf = mLeaves.Find(aSeen.mLeaf)) {
       const model::instant now = event_loop::Now();
-      if (aSeen.mExcessMs == 0) {
-        leaf->Load().OnPeerUseless(now);
-      } else {
-        leaf->Load().OnPeerSample(std::chrono::milliseconds(aSeen.mExcessMs),
+      if (aSeen.mExcessMs) {
+        leaf->Load().OnPeerSample(std::chrono::milliseconds(*aSeen.mExcessMs),
                                   now);
+      } else {
+        leaf->Load().OnPeerUseless(now);
       }
     }
   };
@@ -305,21 +305,22 @@
 }
 
 void
-entry_instance::OnSlow(const leaf_peer& aLeaf, model::duration aExcess)
+entry_instance::OnSpeed(const leaf_peer& aLeaf, model::duration aExcess)
 {
   Observe(aLeaf,
-          static_cast<std::uint32_t>(
-            std::chrono::ceil<std::chrono::milliseconds>(aExcess).count()));
+          static_cast<std::int32_t>(
+            std::chrono::floor<std::chrono::milliseconds>(aExcess).count()));
 }
 
 void
 entry_instance::OnUseless(const leaf_peer& aLeaf)
 {
-  Observe(aLeaf, 0);
+  Observe(aLeaf, std::nullopt);
 }
 
 void
-entry_instance::Observe(const leaf_peer& aLeaf, std::uint32_t aExcessMs)
+entry_instance::Observe(const leaf_peer& aLeaf,
+                        std::optional<std::int32_t> aExcessMs)
 {
   if (mObserved.size() < kMostObserved) {
     mObserved.push_back({ aLeaf.Entry().mId, aExcessMs });
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -39,7 +39,7 @@
   void Apply(const instance_settings& aSettings);
 
   void OnLinkOpened(const leaf_peer& aLeaf) override;
-  void OnSlow(const leaf_peer& aLeaf, model::duration aExcess) override;
+  void OnSpeed(const leaf_peer& aLeaf, model::duration aExcess) override;
   void OnUseless(const leaf_peer& aLeaf) override;
   void OnLeafDied(const leaf_peer& aLeaf,
                   const once::suspicion& aSuspicion) override;
@@ -52,7 +52,7 @@
   void OnRound(model::instant aNow);
   void CheckSuspension(model::instant aNow);
   void CheckReadiness(model::instant aNow);
-  void Observe(const leaf_peer& aLeaf, std::uint32_t aExcessMs);
+  void Observe(const leaf_peer& aLeaf, std::optional<std::int32_t> aExcessMs);
   void StepStop(model::instant aNow);
   control_plane::hooks MakeHooks();
 
--- a/src/gateway/leaf_peer.cpp
+++ b/src/gateway/leaf_peer.cpp
@@ -18,11 +18,12 @@
 /** No further connection is tried for so long at a leaf at its limit. */
 constexpr std::chrono::milliseconds kCapPause{ 1'000 };
 
-/** Peers are told of answers that took so much longer than usual. */
+/** Peers are told of answers that took so much longer than usual, or so much
+ * less than what was known. */
 constexpr std::chrono::milliseconds kLeastTold{ 8 };
 /** A connection that is not kept open is left to other instances after such a
  * time without work. */
-constexpr std::chrono::milliseconds kSharedIdle{ 500 };
+constexpr std::chrono::milliseconds kSharedIdle{ 1'500 };
 
 } // namespace
 
@@ -286,6 +287,7 @@
     work = at - *aAttempt.mSent - mLoad.RoundTrip();
   }
   std::optional<model::duration> excess;
+  const model::duration known = mLoad.Excess(at);
   if (end == attempt_end::Answered && useful) {
     excess = mLoad.OnAnswer(aAttempt.mQueued, work, aAttempt.mUsualWork, at);
   } else if (end == attempt_end::Answered || end == attempt_end::NotRun) {
@@ -294,9 +296,9 @@
   } else {
     excess = mLoad.OnDropped(aAttempt.mQueued, work, aAttempt.mUsualWork, at);
   }
-  if (excess &&
-      *excess > std::max<model::duration>(aAttempt.mUsualWork, kLeastTold)) {
-    mObserver.OnSlow(*this, *excess);
+  const auto least = std::max<model::duration>(aAttempt.mUsualWork, kLeastTold);
+  if (excess && (*excess > least || known - *excess > least)) {
+    mObserver.OnSpeed(*this, *excess);
   }
 }
 
--- a/src/gateway/leaf_peer_base.h
+++ b/src/gateway/leaf_peer_base.h
@@ -133,8 +133,8 @@
   leaf_observer& operator=(leaf_observer&&) = delete;
 
   virtual void OnLinkOpened(const leaf_peer& aLeaf) = 0;
-  /** An answer took so much more than usual. */
-  virtual void OnSlow(const leaf_peer& aLeaf, model::duration aExcess) = 0;
+  /** An answer took so much more than usual, which was not known. */
+  virtual void OnSpeed(const leaf_peer& aLeaf, model::duration aExcess) = 0;
   virtual void OnUseless(const leaf_peer& aLeaf) = 0; ///< It refused or failed.
   /** The leaf died with a request that may have killed it. */
   virtual void OnLeafDied(const leaf_peer& aLeaf,
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -86,7 +86,9 @@
 json
 ToArray(const leaf_observation& aObservation)
 {
-  return json::array({ aObservation.mLeaf, aObservation.mExcessMs });
+  return json::array({ aObservation.mLeaf,
+                       aObservation.mExcessMs ? json(*aObservation.mExcessMs)
+                                              : json() });
 }
 
 json
@@ -187,9 +189,12 @@
                                     suspect.at(1).get<std::uint32_t>() });
     }
     for (const json& observation : value->at(6)) {
-      message.mObservations.push_back(
-        { observation.at(0).get<std::string>(),
-          observation.at(1).get<std::uint32_t>() });
+      serving::leaf_observation seen;
+      seen.mLeaf = observation.at(0).get<std::string>();
+      if (!observation.at(1).is_null()) {
+        seen.mExcessMs = observation.at(1).get<std::int32_t>();
+      }
+      message.mObservations.push_back(std::move(seen));
     }
     for (const json& delta : value->at(4)) {
       message.mDeltas.push_back(ToDelta(delta));
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -10,6 +10,7 @@
 #include "serving/leaf_entry_type.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,11 +47,12 @@
   bool operator==(const leaf_suspicion&) const = default;
 };
 
-/** An answer that took longer than usual, or was of no use. */
+/** An answer that tells something new of a leaf's speed, or was of no use. */
 struct leaf_observation
 {
   std::string mLeaf;
-  std::uint32_t mExcessMs = 0; ///< 0 for one that was of no use.
+  /** What it took beyond the usual; nothing if it was of no use. */
+  std::optional<std::int32_t> mExcessMs;
 
   bool operator==(const leaf_observation&) const = default;
 };
--- a/src/serving/leaf_load.cpp
+++ b/src/serving/leaf_load.cpp
@@ -19,7 +19,8 @@
 /** Without answers it is half forgotten after this: shorter than faults last,
  * so that a leaf that has recovered gets work again. */
 constexpr double kUselessForgetSeconds = 1.0;
-constexpr int kSampleDivisor = 4; ///< An answer's weight in the mean.
+constexpr int kSlowerDivisor = 4; ///< A slower answer's weight in the mean.
+constexpr int kFasterDivisor = 2; ///< ... and a faster one's.
 /** An observed excess is half forgotten after such a time without answers,
  * so that a leaf that has recovered is tried again. */
 constexpr double kForgetSeconds = 0.5;
@@ -69,8 +70,11 @@
   const model::duration sample = std::min(aSample, mLastSample);
   mLastSample = aSample;
   const model::duration known = Excess(aNow);
-  mExcess = known + (std::min<model::duration>(sample, kMostExcess) - known) /
-                      kSampleDivisor;
+  // A slow leaf has no fast answers, but one that has paused has slow ones.
+  const int divisor = sample < known ? kFasterDivisor : kSlowerDivisor;
+  mExcess =
+    known +
+    (std::min<model::duration>(sample, kMostExcess) - known) / divisor;
   mExcessAt = aNow;
 }
 
--- a/test/serving/shared_learning_test.cpp
+++ b/test/serving/shared_learning_test.cpp
@@ -39,7 +39,7 @@
     model::instant mAt;
     std::size_t mBy;
     std::size_t mLeaf;
-    model::duration mExcess; ///< None: of no use.
+    std::optional<model::duration> mExcess; ///< Nothing: of no use.
   };
   std::array<std::array<leaf_load, kReplicas>, kInstances> loads;
   std::vector<told> news;
@@ -55,19 +55,19 @@
   constexpr int kRequests = kPerSecond * 10;
   for (int request = 0; request < kRequests; ++request) {
     now += model::duration(seconds(1)) / kPerSecond;
-    std::erase_if(news, [&](const told& aTold2) {
-      if (aTold2.mAt + kToldAfter > now) {
+    std::erase_if(news, [&](const told& aNews) {
+      if (aNews.mAt + kToldAfter > now) {
         return false;
       }
       for (std::size_t other = 0; other < kInstances && aTold; ++other) {
-        if (other == aTold2.mBy) {
+        if (other == aNews.mBy) {
           continue;
         }
-        leaf_load& load = loads[other][aTold2.mLeaf];
-        if (aTold2.mExcess.count() == 0) {
-          load.OnPeerUseless(aTold2.mAt);
+        leaf_load& load = loads[other][aNews.mLeaf];
+        if (aNews.mExcess) {
+          load.OnPeerSample(*aNews.mExcess, aNews.mAt);
         } else {
-          load.OnPeerSample(aTold2.mExcess, aTold2.mAt);
+          load.OnPeerUseless(aNews.mAt);
         }
       }
       return true;
@@ -85,11 +85,12 @@
     own[leaf].OnSent(now);
     if (refused) {
       own[leaf].OnUseless(now, end);
-      news.push_back({ end, by, leaf, {} });
+      news.push_back({ end, by, leaf, std::nullopt });
       continue;
     }
+    const auto known = own[leaf].Excess(end);
     const auto excess = own[leaf].OnAnswer(now, work, kWork, end);
-    if (excess && *excess > kWork) {
+    if (excess && (*excess > kWork || known - *excess > kWork)) {
       news.push_back({ end, by, leaf, *excess });
     }
   }
