A cut data centre is noticed from three silent leaves, by all neighbours at once

serving::way_watch: a way is lost when three leaves behind it stand still and none has answered since; neighbours are told; a connection is tried each 250 ms. serving::recent_demand: not ready while a way is lost and less than half of the demand could be served. Peers' fast answers count more than their slow ones, own answers as before (slow_replicas_test refused the latter).

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -112,12 +112,14 @@
 
 void
 control_plane::TellNeighbours(
-  const std::vector<serving::leaf_observation>& aObservations,
+  std::vector<serving::leaf_observation> aObservations,
+  std::vector<std::string> aLostWays,
   model::instant aNow)
 {
   serving::fleet_message message;
   message.mMembers = { mFleet.Self() };
-  message.mObservations = aObservations;
+  message.mObservations = std::move(aObservations);
+  message.mLostWays = std::move(aLostWays);
   const std::string bytes = serving::EncodeMessage(message);
   for (const serving::fleet_member& member : mFleet.Live(aNow)) {
     if (member.mDataCentre == mFleet.Self().mDataCentre) {
@@ -158,6 +160,12 @@
   for (const serving::leaf_observation& seen : message->mObservations) {
     mHooks.mOnObservation(seen);
   }
+  for (const std::string& dataCentre : message->mLostWays) {
+    // Only neighbours share the ways to other data centres.
+    if (message->mMembers.front().mDataCentre == mFleet.Self().mDataCentre) {
+      mHooks.mOnWayLost(dataCentre);
+    }
+  }
   for (const once::death_mark& death : message->mDeaths) {
     mHooks.mOnDeath(death);
   }
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -40,6 +40,7 @@
     std::function<void(const serving::leaf_directory::changes&)> mOnLeaves;
     std::function<void(const serving::leaf_suspicion&)> mOnSuspicion;
     std::function<void(const serving::leaf_observation&)> mOnObservation;
+    std::function<void(const std::string&)> mOnWayLost; ///< A data centre.
     std::function<std::vector<serving::leaf_suspicion>()> mSuspects;
     std::function<void(const once::death_mark&)> mOnDeath;
     std::function<std::vector<once::death_mark>()> mDeaths;
@@ -73,9 +74,9 @@
   bool ConfigCertain(model::instant aNow) const;
   /** Tells all peers at once that a leaf has died with a request. */
   /** Tells the instances of the own data centre, which use the same leaves. */
-  void TellNeighbours(
-    const std::vector<serving::leaf_observation>& aObservations,
-    model::instant aNow);
+  void TellNeighbours(std::vector<serving::leaf_observation> aObservations,
+                      std::vector<std::string> aLostWays,
+                      model::instant aNow);
   void TellDeath(const once::death_mark& aMark, model::instant aNow);
 
 private:
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -25,6 +25,8 @@
 constexpr double kReadyShare = 0.75;
 /** Observations of leaves in one message, so that it fits a datagram. */
 constexpr std::size_t kMostObserved = 48;
+/** Part of the demand that must be servable while a way is lost. */
+constexpr double kReadyDemand = 0.5;
 /** Work that a leaf is taken to need where no route is at hand. */
 constexpr std::chrono::milliseconds kAnyWork{ 30 };
 
@@ -172,6 +174,11 @@
       }
     }
   };
+  hooks.mOnWayLost = [this](const std::string& aDataCentre) {
+    if (mLeaves.OnWayToldLost(aDataCentre)) {
+      LogWay(aDataCentre, true, "told by a neighbour");
+    }
+  };
   hooks.mOnDeath = [this](const once::death_mark& aMark) {
     mQuarantine.Merge(aMark, WallNow());
   };
@@ -192,8 +199,9 @@
   mCallers.OnTick(now);
   mReadiness.OnTick(now);
   mLeaves.OnTick(mDesk.Config().get(), now);
-  if (!mObserved.empty()) {
-    mControl.TellNeighbours(std::exchange(mObserved, {}), now);
+  if (!mObserved.empty() || !mLostWays.empty()) {
+    mControl.TellNeighbours(
+      std::exchange(mObserved, {}), std::exchange(mLostWays, {}), now);
   }
   if (now >= mNextRound) {
     mNextRound = now + kRound;
@@ -236,15 +244,22 @@
 entry_instance::CheckReadiness(model::instant aNow)
 {
   double reach = 0;
+  double servable = 1;
   if (mDesk.Config()) {
     reach = mLeaves.Reachable(mDesk.Config()->RoutedServices(), aNow);
+    // Shards that are gone everywhere send callers nowhere; those behind a
+    // lost way others can reach.
+    if (mLeaves.AnyWayLost()) {
+      servable = mLeaves.Servable(*mDesk.Config(), mDesk.Demand(), aNow);
+    }
   }
-  const bool ready = !mStop && reach >= kReadyShare;
+  const bool ready = !mStop && reach >= kReadyShare && servable >= kReadyDemand;
   if (ready != mReady) {
     mReady = ready;
     mLog.Write(ops::log_level::Info,
                ready ? "ready" : "not_ready",
                { { "reach", reach },
+                 { "servable", servable },
                  { "leaves", static_cast<long>(mLeaves.Size()) },
                  { "stopping", static_cast<long>(mStop.has_value()) } });
   }
@@ -298,6 +313,30 @@
   mSettings.mStopBound = aSettings.mStopBound;
 }
 
+void
+entry_instance::OnWay(const std::string& aDataCentre,
+                      bool aLost,
+                      std::size_t aOverdue)
+{
+  LogWay(aDataCentre,
+         aLost,
+         aLost ? std::to_string(aOverdue) + " leaves stand still"
+               : "a leaf answers");
+  if (aLost) {
+    mLostWays.push_back(aDataCentre);
+  }
+}
+
+void
+entry_instance::LogWay(const std::string& aDataCentre,
+                       bool aLost,
+                       const std::string& aReason) const
+{
+  mLog.Write(aLost ? ops::log_level::Warning : ops::log_level::Info,
+             aLost ? "way_lost" : "way_back",
+             { { "data_centre", aDataCentre }, { "reason", aReason } });
+}
+
 void
 entry_instance::OnLinkOpened(const leaf_peer& /*aLeaf*/)
 {
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -38,6 +38,9 @@
   void Stop(const char* aReason); ///< Begins the graceful stop.
   void Apply(const instance_settings& aSettings);
 
+  void OnWay(const std::string& aDataCentre,
+             bool aLost,
+             std::size_t aOverdue) override;
   void OnLinkOpened(const leaf_peer& aLeaf) override;
   void OnSpeed(const leaf_peer& aLeaf, model::duration aExcess) override;
   void OnUseless(const leaf_peer& aLeaf) override;
@@ -53,6 +56,9 @@
   void CheckSuspension(model::instant aNow);
   void CheckReadiness(model::instant aNow);
   void Observe(const leaf_peer& aLeaf, std::optional<std::int32_t> aExcessMs);
+  void LogWay(const std::string& aDataCentre,
+              bool aLost,
+              const std::string& aReason) const;
   void StepStop(model::instant aNow);
   control_plane::hooks MakeHooks();
 
@@ -70,6 +76,7 @@
   http_server mReadiness;
   loop_timer mTick;
   std::vector<serving::leaf_observation> mObserved; ///< Not told yet.
+  std::vector<std::string> mLostWays;               ///< Not told yet.
   model::instant mStarted;
   model::instant mNextRound;
   std::optional<stop_sequence> mStop;
--- a/src/gateway/leaf_peer.cpp
+++ b/src/gateway/leaf_peer.cpp
@@ -71,7 +71,7 @@
 leaf_peer::Submit(leaf_attempt_ptr aAttempt, model::instant aNow)
 {
   aAttempt->mQueued = aNow;
-  mLoad.OnSent(aNow);
+  mLoad.OnSent(aNow, aAttempt->mUsualWork);
   const auto place =
     std::upper_bound(mWaiting.begin(),
                      mWaiting.end(),
@@ -143,6 +143,18 @@
     std::make_unique<leaf_link>(mLoop, *this, mEntry.mAddress, mNames));
 }
 
+void
+leaf_peer::Try()
+{
+  const bool tries =
+    std::any_of(mLinks.begin(), mLinks.end(), [](const auto& aLink) {
+      return aLink->Connecting();
+    });
+  if (!tries && !mRetired) {
+    Open();
+  }
+}
+
 void
 leaf_peer::OnTick(bool aWarm, model::instant aNow)
 {
@@ -162,7 +174,8 @@
     Retire();
     return;
   }
-  if (!mShare.mKeptOpen) {
+  // Beyond the share: what Try has opened.
+  if (!mShare.mKeptOpen || mLinks.size() > mShare.mMost) {
     CloseIdle(aNow);
   }
   if (aWarm && mShare.mKeptOpen && mLinks.empty() && aNow >= mOpensAheadFrom &&
--- a/src/gateway/leaf_peer_base.h
+++ b/src/gateway/leaf_peer_base.h
@@ -72,6 +72,8 @@
   void Dispatch(model::instant aNow);
   /** @param aWarm Connections may be opened ahead of work. */
   void OnTick(bool aWarm, model::instant aNow);
+  /** Opens a connection to see whether the leaf can be reached. */
+  void Try();
   /** No new work; connections close as they become free. */
   void Retire();
   bool Quiet() const; ///< No connection is busy, nothing waits.
@@ -132,6 +134,13 @@
   leaf_observer(leaf_observer&&) = delete;
   leaf_observer& operator=(leaf_observer&&) = delete;
 
+  /**
+   * The way to a data centre is lost or back.
+   * @param aOverdue Leaves there whose answers are overdue.
+   */
+  virtual void OnWay(const std::string& aDataCentre,
+                     bool aLost,
+                     std::size_t aOverdue) = 0;
   virtual void OnLinkOpened(const leaf_peer& aLeaf) = 0;
   /** An answer took so much more than usual, which was not known. */
   virtual void OnSpeed(const leaf_peer& aLeaf, model::duration aExcess) = 0;
--- a/src/gateway/leaf_table.cpp
+++ b/src/gateway/leaf_table.cpp
@@ -16,6 +16,10 @@
 
 /** How long peers avoid a leaf on this instance's word; renewed each round. */
 constexpr std::uint32_t kSuspicionMs = 350;
+/** Work that a leaf of another data centre is taken to need at least before
+ * its silence tells of the way: with the factor of an overdue answer, more
+ * than a pause. */
+constexpr std::chrono::milliseconds kWorkThere{ 30 };
 /** Connections that rested equally long end at the same moment everywhere; all
  * instances open theirs again within this time. At a leaf with as many
  * connections as it accepts, that takes a small part of its work. */
@@ -131,6 +135,7 @@
   for (const leaf_peer_ptr& leaf : all) {
     leaf->OnTick(aConfig != nullptr, aNow);
   }
+  WatchWays(aNow);
   for (const leaf_peer_ptr& leaf : mRetired) {
     leaf->OnTick(false, aNow);
   }
@@ -138,6 +143,60 @@
                 [](const leaf_peer_ptr& aLeaf) { return aLeaf->Quiet(); });
 }
 
+void
+leaf_table::WatchWays(model::instant aNow)
+{
+  struct signs
+  {
+    model::instant mHeard;
+    std::vector<model::instant> mOverdue;
+    leaf_list mLeaves;
+  };
+  std::map<std::string, signs> seen;
+  for (const auto& [id, leaf] : mById) {
+    if (leaf->Entry().mDataCentre == mDataCentre) {
+      continue;
+    }
+    signs& there = seen[leaf->Entry().mDataCentre];
+    there.mHeard = std::max(there.mHeard, leaf->Load().LastHeard());
+    if (const auto since = leaf->Load().OverdueSince(kWorkThere, aNow)) {
+      there.mOverdue.push_back(*since);
+    }
+    there.mLeaves.push_back(leaf);
+  }
+  std::erase_if(mWays,
+                [&](const auto& aWay) { return !seen.contains(aWay.first); });
+  for (const auto& [dataCentre, there] : seen) {
+    serving::way_watch& way = mWays[dataCentre];
+    const bool before = way.Lost();
+    way.OnTick(there.mHeard, there.mOverdue);
+    if (way.Lost() != before) {
+      mObserver.OnWay(dataCentre, way.Lost(), there.mOverdue.size());
+    }
+    for (const leaf_peer_ptr& leaf : there.mLeaves) {
+      leaf->Load().SetWayLost(way.Lost());
+    }
+    if (way.TakeTry(aNow)) {
+      there.mLeaves[mTries++ % there.mLeaves.size()]->Try();
+    }
+  }
+}
+
+bool
+leaf_table::OnWayToldLost(const std::string& aDataCentre)
+{
+  const auto way = mWays.find(aDataCentre);
+  return way != mWays.end() && way->second.OnToldLost();
+}
+
+bool
+leaf_table::AnyWayLost() const
+{
+  return std::any_of(mWays.begin(), mWays.end(), [](const auto& aWay) {
+    return aWay.second.Lost();
+  });
+}
+
 std::vector<serving::leaf_suspicion>
 leaf_table::Suspects(model::duration aUsualWork, model::instant aNow) const
 {
@@ -150,6 +209,26 @@
   return suspects;
 }
 
+double
+leaf_table::Servable(const serving::routing_config& aConfig,
+                     const serving::recent_demand& aDemand,
+                     model::instant aNow) const
+{
+  double all = 0;
+  double servable = 0;
+  for (const serving::route& route : aConfig.Routes()) {
+    std::vector<std::string> services = route.mShards;
+    for (const serving::weighted_service& target : route.mTargets) {
+      services.push_back(target.mService);
+    }
+    const double demand = aDemand.Of(route.mName, aNow);
+    const double least = route.IsFanOut() ? route.mLeastShare : 1;
+    all += demand;
+    servable += Reachable(services, aNow) >= least ? demand : 0;
+  }
+  return all == 0 ? 1 : servable / all;
+}
+
 double
 leaf_table::Reachable(const std::vector<std::string>& aServices,
                       model::instant aNow) const
--- a/src/gateway/leaf_table_base.h
+++ b/src/gateway/leaf_table_base.h
@@ -8,7 +8,9 @@
 #include "gateway/leaf_peer_base.h"
 #include "serving/fleet_type.h"
 #include "serving/leaf_directory_base.h"
+#include "serving/recent_demand_base.h"
 #include "serving/routing_config_base.h"
+#include "serving/way_watch_base.h"
 
 #include <map>
 #include <unordered_map>
@@ -47,13 +49,22 @@
   /** Leaves seen standing still or refusing, for the peers. */
   std::vector<serving::leaf_suspicion> Suspects(model::duration aUsualWork,
                                                 model::instant aNow) const;
+  /** A neighbour cannot reach a data centre. @return Whether that is news. */
+  bool OnWayToldLost(const std::string& aDataCentre);
+  /** Another data centre cannot be reached. */
+  bool AnyWayLost() const;
   std::size_t Size() const { return mById.size(); }
   /** Share of a list of services that have a leaf which answers. */
   double Reachable(const std::vector<std::string>& aServices,
                    model::instant aNow) const;
+  /** Share of the demand whose routes could be served now. */
+  double Servable(const serving::routing_config& aConfig,
+                  const serving::recent_demand& aDemand,
+                  model::instant aNow) const;
 
 private:
   void Remove(const std::string& aId);
+  void WatchWays(model::instant aNow);
 
   event_loop& mLoop;
   const header_names& mNames;
@@ -62,6 +73,8 @@
   std::string mDataCentre;
   std::map<std::string, leaf_peer_ptr> mById;
   std::unordered_map<std::string, leaf_list> mByService;
+  std::map<std::string, serving::way_watch> mWays; ///< By data centre.
+  std::size_t mTries = 0;
   leaf_list mRetired; ///< Until their last attempt has ended.
 };
 
--- a/src/gateway/query_desk.cpp
+++ b/src/gateway/query_desk.cpp
@@ -126,6 +126,7 @@
     }
     wait = std::min(wait, std::chrono::milliseconds(ms));
   }
+  mDemand.OnRequest(route->mName, aExchange->Received());
   query_run::plan plan;
   plan.mConfig = mConfig;
   plan.mRoute = route;
--- a/src/gateway/query_desk_base.h
+++ b/src/gateway/query_desk_base.h
@@ -11,6 +11,7 @@
 #include "once/quarantine_base.h"
 #include "serving/extra_budget_base.h"
 #include "serving/latency_type.h"
+#include "serving/recent_demand_base.h"
 #include "serving/routing_config_base.h"
 #include "serving/weighted_split_base.h"
 
@@ -51,6 +52,7 @@
   /** Whether an unknown path may be refused for good: no newer configuration
    * can be in force that this instance does not know. */
   void SetConfigCertain(bool aCertain) { mConfigCertain = aCertain; }
+  const serving::recent_demand& Demand() const { return mDemand; }
   void OnRequest(const exchange_ptr& aExchange) override;
 
 private:
@@ -66,6 +68,7 @@
   query_context mContext;
   serving::routing_config_ptr mConfig;
   serving::weighted_split mSplit;
+  serving::recent_demand mDemand;
   bool mConfigCertain = true;
   std::unordered_map<std::string, std::shared_ptr<serving::route_latency>>
     mLatencies; ///< By route.
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -86,9 +86,9 @@
 json
 ToArray(const leaf_observation& aObservation)
 {
-  return json::array({ aObservation.mLeaf,
-                       aObservation.mExcessMs ? json(*aObservation.mExcessMs)
-                                              : json() });
+  return json::array(
+    { aObservation.mLeaf,
+      aObservation.mExcessMs ? json(*aObservation.mExcessMs) : json() });
 }
 
 json
@@ -168,7 +168,8 @@
                             ToArrays(aMessage.mSuspects),
                             ToArrays(aMessage.mDeltas),
                             ToArrays(aMessage.mDeaths),
-                            ToArrays(aMessage.mObservations) }));
+                            ToArrays(aMessage.mObservations),
+                            aMessage.mLostWays }));
 }
 
 std::optional<fleet_message>
@@ -196,6 +197,7 @@
       }
       message.mObservations.push_back(std::move(seen));
     }
+    message.mLostWays = value->at(7).get<std::vector<std::string>>();
     for (const json& delta : value->at(4)) {
       message.mDeltas.push_back(ToDelta(delta));
     }
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -66,6 +66,7 @@
   std::vector<directory_delta> mDeltas;  ///< None or one.
   std::vector<once::death_mark> mDeaths; ///< Of leaves, with the request.
   std::vector<leaf_observation> mObservations;
+  std::vector<std::string> mLostWays; ///< Data centres out of reach.
 
   bool operator==(const fleet_message&) const = default;
 };
--- a/src/serving/leaf_load.cpp
+++ b/src/serving/leaf_load.cpp
@@ -19,8 +19,9 @@
 /** Without answers it is half forgotten after this: shorter than faults last,
  * so that a leaf that has recovered gets work again. */
 constexpr double kUselessForgetSeconds = 1.0;
-constexpr int kSlowerDivisor = 4; ///< A slower answer's weight in the mean.
-constexpr int kFasterDivisor = 2; ///< ... and a faster one's.
+constexpr int kSampleDivisor = 4; ///< An answer's weight in the mean.
+/** Weight of a peer's answer that was faster than what is known. */
+constexpr int kContradictionDivisor = 2;
 /** An observed excess is half forgotten after such a time without answers,
  * so that a leaf that has recovered is tried again. */
 constexpr double kForgetSeconds = 0.5;
@@ -48,36 +49,43 @@
 } // namespace
 
 void
-leaf_load::OnSent(model::instant aNow)
+leaf_load::OnSent(model::instant aNow, model::duration aUsualWork)
 {
-  mOutstanding.push_back(aNow);
+  mOutstanding.push_back({ aNow, aUsualWork });
 }
 
 void
 leaf_load::Forget(model::instant aQueued)
 {
   const auto found =
-    std::find(mOutstanding.begin(), mOutstanding.end(), aQueued);
+    std::find_if(mOutstanding.begin(),
+                 mOutstanding.end(),
+                 [&](const sent& aSent) { return aSent.mAt == aQueued; });
   if (found != mOutstanding.end()) {
     mOutstanding.erase(found);
   }
 }
 
 void
-leaf_load::Learn(model::duration aSample, model::instant aNow)
+leaf_load::Learn(model::duration aSample, int aDivisor, model::instant aNow)
 {
   // The lower of two in a row: one answer that met a pause tells no speed.
   const model::duration sample = std::min(aSample, mLastSample);
   mLastSample = aSample;
   const model::duration known = Excess(aNow);
-  // A slow leaf has no fast answers, but one that has paused has slow ones.
-  const int divisor = sample < known ? kFasterDivisor : kSlowerDivisor;
   mExcess =
-    known +
-    (std::min<model::duration>(sample, kMostExcess) - known) / divisor;
+    known + (std::min<model::duration>(sample, kMostExcess) - known) / aDivisor;
   mExcessAt = aNow;
 }
 
+void
+leaf_load::OnPeerSample(model::duration aExcess, model::instant aNow)
+{
+  // Peers tell of slow answers, and of a fast one only if it contradicts them.
+  const bool contradicts = aExcess < Excess(aNow);
+  Learn(aExcess, contradicts ? kContradictionDivisor : kSampleDivisor, aNow);
+}
+
 std::optional<model::duration>
 leaf_load::OnDropped(model::instant aQueued,
                      std::optional<model::duration> aAtLeast,
@@ -93,7 +101,7 @@
   if (!aAtLeast || *aAtLeast - aUsualWork <= Excess(aNow)) {
     return std::nullopt;
   }
-  Learn(*aAtLeast - aUsualWork, aNow);
+  Learn(*aAtLeast - aUsualWork, kSampleDivisor, aNow);
   return *aAtLeast - aUsualWork;
 }
 
@@ -105,6 +113,7 @@
 {
   Forget(aQueued);
   mLastAnswer = aNow;
+  mLastHeard = std::max(mLastHeard, aNow);
   mConnected = true;
   mFailed = false;
   mRefusals = 0;
@@ -118,7 +127,7 @@
     const auto whole = *aWork + mRoundTrip;
     mRoundTrip = std::max(std::min(mRoundTrip, whole), kLeastRoundTrip);
     const auto excess = whole - mRoundTrip - aUsualWork;
-    Learn(excess, aNow);
+    Learn(excess, kSampleDivisor, aNow);
     return excess;
   }
   return std::nullopt;
@@ -167,8 +176,9 @@
 }
 
 void
-leaf_load::OnConnected(model::duration aRoundTrip, model::instant /*aNow*/)
+leaf_load::OnConnected(model::duration aRoundTrip, model::instant aNow)
 {
+  mLastHeard = std::max(mLastHeard, aNow);
   mConnected = true;
   mFailed = false;
   // A connection that waited for a free slot tells no way; the shortest does.
@@ -196,19 +206,21 @@
 bool
 leaf_load::Suspect(model::duration aUsualWork, model::instant aNow) const
 {
-  return aNow < mPeerSuspectUntil || SeenStandingStill(aUsualWork, aNow);
+  return mWayLost || aNow < mPeerSuspectUntil ||
+         SeenStandingStill(aUsualWork, aNow);
 }
 
 bool
 leaf_load::Answers(model::instant aNow) const
 {
-  return mConnected && !SeenStandingStill(kLongOverdue / kOverdueFactor, aNow);
+  return mConnected && !mWayLost &&
+         !SeenStandingStill(kLongOverdue / kOverdueFactor, aNow);
 }
 
 bool
 leaf_load::Lost(model::instant aNow) const
 {
-  return mFailed ||
+  return mFailed || mWayLost ||
          (mConnected && SeenStandingStill(kLongOverdue / kOverdueFactor, aNow));
 }
 
@@ -216,21 +228,26 @@
 leaf_load::SeenStandingStill(model::duration aUsualWork,
                              model::instant aNow) const
 {
-  if (Refuses(aNow) || mFailed) {
-    return true;
-  }
+  return Refuses(aNow) || mFailed || OverdueSince(aUsualWork, aNow);
+}
+
+std::optional<model::instant>
+leaf_load::OverdueSince(model::duration aUsualWork, model::instant aNow) const
+{
   if (mOutstanding.empty()) {
-    return false;
+    return std::nullopt;
   }
-  const model::instant oldest = mOutstanding.front();
+  const auto& [oldest, usual] = mOutstanding.front();
   if (mLastAnswer && *mLastAnswer > oldest) {
-    return false;
+    return std::nullopt;
   }
   const auto expected =
-    mRoundTrip + aUsualWork +
+    mRoundTrip + std::max(aUsualWork, usual) +
     std::max<model::duration>(Excess(aNow), model::duration(0));
-  return aNow - oldest >
-         std::max<model::duration>(kOverdueFactor * expected, kLeastOverdue);
+  const bool overdue =
+    aNow - oldest >
+    std::max<model::duration>(kOverdueFactor * expected, kLeastOverdue);
+  return overdue ? std::optional(oldest) : std::nullopt;
 }
 
 model::duration
--- a/src/serving/leaf_load_base.h
+++ b/src/serving/leaf_load_base.h
@@ -23,7 +23,8 @@
 class leaf_load
 {
 public:
-  void OnSent(model::instant aNow);
+  /** @param aUsualWork The route's mean. */
+  void OnSent(model::instant aNow, model::duration aUsualWork = {});
   /**
    * @param aQueued When the attempt was handed to the leaf, as in OnSent.
    * @param aWork Time at the leaf without the way; nothing if the answer tells
@@ -53,17 +54,23 @@
   void OnUseless(model::instant aQueued, model::instant aNow);
   /** A peer had such an answer. */
   void OnPeerUseless(model::instant aNow) { LearnUseless(aNow); }
-  /** A peer had an answer that took so much longer than usual. */
-  void OnPeerSample(model::duration aExcess, model::instant aNow)
-  {
-    Learn(aExcess, aNow);
-  }
+  /** A peer had an answer that took so much longer than usual, or tells that
+   * the leaf is no longer slow. */
+  void OnPeerSample(model::duration aExcess, model::instant aNow);
   /** A peer has seen the leaf stand still or refuse, until about then. */
   void OnPeerSuspicion(model::instant aUntil);
   void SetColdUntil(model::instant aUntil) { mColdUntil = aUntil; }
   /** It is in another data centre, and links between them are dear. */
   void SetElsewhere(bool aElsewhere) { mElsewhere = aElsewhere; }
 
+  /** Its data centre cannot be reached. */
+  void SetWayLost(bool aLost) { mWayLost = aLost; }
+
+  /** Since when its oldest attempt waits, if that is overdue. */
+  std::optional<model::instant> OverdueSince(model::duration aUsualWork,
+                                             model::instant aNow) const;
+  /** Last answer or connection; the clock's start if there was none. */
+  model::instant LastHeard() const { return mLastHeard; }
   std::size_t Outstanding() const { return mOutstanding.size(); }
   model::duration RoundTrip() const { return mRoundTrip; }
   /** Overdue answer, refused connections or a peer's word. */
@@ -88,23 +95,31 @@
 
 private:
   void Forget(model::instant aQueued);
-  void Learn(model::duration aSample, model::instant aNow);
+  void Learn(model::duration aSample, int aDivisor, model::instant aNow);
   void LearnUseless(model::instant aNow);
   double UselessShare(model::instant aNow) const;
 
-  std::vector<model::instant> mOutstanding; ///< Oldest first.
-  model::duration mRoundTrip{ 0 };          ///< 0: not measured.
+  struct sent
+  {
+    model::instant mAt;
+    model::duration mUsualWork;
+  };
+
+  std::vector<sent> mOutstanding;  ///< Oldest first.
+  model::duration mRoundTrip{ 0 }; ///< 0: not measured.
   model::duration mExcess{ 0 };
   model::instant mExcessAt;
   model::duration mLastSample{ 0 };
   double mUselessShare = 0; ///< Of its answers, weighted by age.
   model::instant mUselessAt;
+  model::instant mLastHeard;
   std::optional<model::instant> mLastAnswer;
   model::instant mColdUntil;
   model::instant mRefusesUntil;
   model::instant mPeerSuspectUntil;
   int mRefusals = 0; ///< In a row.
   bool mElsewhere = false;
+  bool mWayLost = false;
   bool mConnected = false; ///< Once, and it has not failed since.
   bool mFailed = false;    ///< Without a sign of life since.
 };
