--- a/src/ctl/command_context.cpp
+++ b/src/ctl/command_context.cpp
@@ -6,7 +6,7 @@
 
 #include "ctl/instance_client_base.h"
 #include "ctl/text_table_func.h"
-#include "platform/instance_list_base.h"
+#include "store/instance_list_base.h"
 
 #include <fstream>
 #include <sstream>
@@ -92,10 +92,10 @@
   if (aContext.mList == nullptr) {
     return out;
   }
-  const platform::instances_outcome listed = aContext.mList->List();
-  out.mKnown = listed.mStatus == platform::store_status::Ok;
-  for (const platform::listed_instance& entry : listed.mInstances) {
-    if (entry.mRole == platform::instance_role::Entry) {
+  const store::instances_outcome listed = aContext.mList->List();
+  out.mKnown = listed.mStatus == store::store_status::Ok;
+  for (const store::listed_instance& entry : listed.mInstances) {
+    if (entry.mRole == store::instance_role::Entry) {
       instance_status listedOne;
       listedOne.mAddress = entry.mCallerAddress;
       listedOne.mInstance = entry.mId;
--- a/src/ctl/command_context_base.h
+++ b/src/ctl/command_context_base.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 class instance_list;
 class key_value_service;
 }
@@ -29,8 +29,8 @@
 struct command_context
 {
   command_options mOptions;
-  platform::key_value_service* mStore = nullptr; ///< Null without --platform.
-  platform::instance_list* mList = nullptr;      ///< Null without --platform.
+  store::key_value_service* mStore = nullptr; ///< Null without --platform.
+  store::instance_list* mList = nullptr;      ///< Null without --platform.
   instance_client* mInstances = nullptr;
   std::ostream* mOut = nullptr;                  ///< Reports.
   std::ostream* mErr = nullptr;                  ///< Progress and faults.
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -8,7 +8,7 @@
 #include "ctl/http_instance_client_base.h"
 #include "net/http_connector_base.h"
 #include "net/http_pool_base.h"
-#include "platform/platform_client_base.h"
+#include "store/platform_client_base.h"
 
 #include <csignal>
 #include <iostream>
@@ -21,7 +21,7 @@
 
 constexpr std::size_t kIdleConnections = 4;
 /** An operator's command is rare; its share is for bursts only. */
-constexpr platform::rate_share kShare{ 50, 200 };
+constexpr store::rate_share kShare{ 50, 200 };
 
 model::instant
 Now()
@@ -62,12 +62,12 @@
   const auto connector = net::http_connector::Create(1);
   net::http_pool pool(*connector, kIdleConnections);
   ctl::http_instance_client instances(pool);
-  std::unique_ptr<platform::platform_client> store;
+  std::unique_ptr<store::platform_client> store;
   if (!aOptions.mPlatform.empty()) {
-    platform::platform_options options;
+    store::platform_options options;
     options.mAddresses = aOptions.mPlatform;
     options.mShare = kShare;
-    store = std::make_unique<platform::platform_client>(pool, options, Now);
+    store = std::make_unique<store::platform_client>(pool, options, Now);
   }
   ctl::command_context context;
   context.mOptions = aOptions;
--- a/src/ctl/manifest_commands.cpp
+++ b/src/ctl/manifest_commands.cpp
@@ -7,10 +7,10 @@
 #include "config/settings_doc_func.h"
 #include "ctl/command_context_base.h"
 #include "ctl/command_func.h"
-#include "platform/apply_run_func.h"
-#include "platform/manifest_fetch_func.h"
-#include "platform/manifest_plan_type.h"
-#include "platform/manifest_reader_base.h"
+#include "store/apply_run_func.h"
+#include "store/manifest_fetch_func.h"
+#include "store/manifest_plan_type.h"
+#include "store/manifest_reader_base.h"
 
 #include <algorithm>
 #include <ostream>
@@ -59,10 +59,10 @@
 std::optional<model::manifest>
 LoadInForce(const command_context& aContext)
 {
-  platform::manifest_reader reader;
+  store::manifest_reader reader;
   for (int i = 0; i < kFetchTries; ++i) {
-    const auto got = platform::FetchManifest(*aContext.mStore, reader);
-    if (got.mStatus == platform::store_status::NotFound) {
+    const auto got = store::FetchManifest(*aContext.mStore, reader);
+    if (got.mStatus == store::store_status::NotFound) {
       return model::manifest(0, {}, {});
     }
     if (reader.InForce()) {
@@ -70,17 +70,17 @@
     }
     aContext.mSleep(kFirstPause);
   }
-  for (const platform::manifest_alarm& alarm : reader.Alarms()) {
+  for (const store::manifest_alarm& alarm : reader.Alarms()) {
     *aContext.mErr << ToString(alarm.mKind) << ": " << alarm.mText << "\n";
   }
   return std::nullopt;
 }
 
 json
-ToJson(const std::vector<platform::plan_entry>& aPlan)
+ToJson(const std::vector<store::plan_entry>& aPlan)
 {
   json out = json::array();
-  for (const platform::plan_entry& entry : aPlan) {
+  for (const store::plan_entry& entry : aPlan) {
     out.push_back({ { "change", ToString(entry.mChange) },
                     { "what", ToString(entry.mSubject) },
                     { "service", entry.mService.Value() },
@@ -150,28 +150,28 @@
 }
 
 exit_code
-ExitOf(platform::apply_end aEnd)
+ExitOf(store::apply_end aEnd)
 {
   switch (aEnd) {
-    case platform::apply_end::Accepted:
+    case store::apply_end::Accepted:
       return exit_code::Done;
-    case platform::apply_end::Conflict:
+    case store::apply_end::Conflict:
       return exit_code::Conflict;
-    case platform::apply_end::NotApplied:
+    case store::apply_end::NotApplied:
       return exit_code::NotApplied;
-    case platform::apply_end::Unknown:
+    case store::apply_end::Unknown:
       return exit_code::Unknown;
   }
   return exit_code::Unknown;
 }
 
-platform::apply_request
+store::apply_request
 RequestOf(const command_context& aContext, const model::manifest& aManifest)
 {
   const command_options& options = aContext.mOptions;
   const std::string name =
     options.mChange.empty() ? aContext.mFreshId() : options.mChange;
-  auto out = platform::apply_request::Of(aManifest, platform::change_id(name));
+  auto out = store::apply_request::Of(aManifest, store::change_id(name));
   out.mBase = options.mBase;
   out.mRepeated = options.mRepeat;
   out.mRecover = options.mRecover;
@@ -186,12 +186,12 @@
 }
 
 json
-ReportOf(const platform::apply_request& aRequest,
-         const platform::apply_verdict& aVerdict)
+ReportOf(const store::apply_request& aRequest,
+         const store::apply_verdict& aVerdict)
 {
   json out = { { "result", ToString(aVerdict.mEnd) },
                { "change", aRequest.mChange.Value() } };
-  const bool accepted = aVerdict.mEnd == platform::apply_end::Accepted;
+  const bool accepted = aVerdict.mEnd == store::apply_end::Accepted;
   if (accepted) {
     out["manifest"] = aVerdict.mVersion;
     if (aVerdict.mNewest > aVerdict.mVersion) {
@@ -200,7 +200,7 @@
     return out;
   }
   out["reason"] = aVerdict.mReason;
-  if (aVerdict.mEnd == platform::apply_end::Conflict) {
+  if (aVerdict.mEnd == store::apply_end::Conflict) {
     out["first"] = aVerdict.mWinner.Empty() ? json("not known")
                                             : json(aVerdict.mWinner.Value());
     out["manifest_of_first"] = aVerdict.mVersion;
@@ -243,7 +243,7 @@
     *aContext.mErr << "the manifest in force could not be read\n";
     return exit_code::NoAnswer;
   }
-  const auto plan = platform::PlanChanges(*inForce, *loaded);
+  const auto plan = store::PlanChanges(*inForce, *loaded);
   aContext.Report({ { "base", inForce->Version() },
                     { "changes", plan.size() },
                     { "plan", ToJson(plan) } });
@@ -258,15 +258,15 @@
   if (!loaded) {
     return exit_code::Faults;
   }
-  const platform::apply_request request = RequestOf(aContext, *loaded);
+  const store::apply_request request = RequestOf(aContext, *loaded);
   const auto pause = [&aContext](int aFailures) {
     const model::duration grown = kFirstPause * (1 << std::min(aFailures, 5));
     aContext.mSleep(std::min(grown, kLongestPause));
   };
-  const platform::apply_verdict verdict =
-    platform::RunApply(request, *aContext.mStore, pause);
+  const store::apply_verdict verdict =
+    store::RunApply(request, *aContext.mStore, pause);
   aContext.Report(ReportOf(request, verdict));
-  const bool accepted = verdict.mEnd == platform::apply_end::Accepted;
+  const bool accepted = verdict.mEnd == store::apply_end::Accepted;
   if (!accepted || !aContext.mOptions.mWait) {
     return ExitOf(verdict.mEnd);
   }
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -35,7 +35,7 @@
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
 #include "peer/cluster_node_base.h"
-#include "platform/platform_client_base.h"
+#include "store/platform_client_base.h"
 
 #include <nlohmann/json.hpp>
 
@@ -95,7 +95,7 @@
   std::unique_ptr<worker_pool> mWorkers;
   net::http_pool mPeers;
   net::http_pool mPlatformPool;
-  platform::platform_client mPlatform;
+  store::platform_client mPlatform;
   manifest_store_source mSource;
   manifest_table mManifests;
   leaf_table mLeaves;
--- a/src/entry/list_watch.cpp
+++ b/src/entry/list_watch.cpp
@@ -10,7 +10,7 @@
 #include "entry/leaf_table_base.h"
 #include "ops/log_base.h"
 #include "peer/cluster_node_base.h"
-#include "platform/instance_list_base.h"
+#include "store/instance_list_base.h"
 
 #include <algorithm>
 #include <utility>
@@ -60,19 +60,19 @@
 void
 list_watch::Read(peer::cluster_node& aNode, bool aListener)
 {
-  const platform::instances_outcome outcome = mParts.mList.List();
-  if (outcome.mStatus != platform::store_status::Ok) {
+  const store::instances_outcome outcome = mParts.mList.List();
+  if (outcome.mStatus != store::store_status::Ok) {
     mParts.mLog.Write(
       ops::log_level::Debug,
       "list_unavailable",
-      { { "reason", std::string(platform::ToString(outcome.mStatus)) } });
+      { { "reason", std::string(store::ToString(outcome.mStatus)) } });
     return;
   }
   std::vector<cluster::listed_instance> entries;
   std::set<model::leaf_id> leaving;
   std::set<model::leaf_id> live;
-  for (const platform::listed_instance& listed : outcome.mInstances) {
-    if (listed.mRole == platform::instance_role::Entry) {
+  for (const store::listed_instance& listed : outcome.mInstances) {
+    if (listed.mRole == store::instance_role::Entry) {
       entries.push_back({ model::instance_id(listed.mId),
                           listed.mDataCentre,
                           listed.mAddress,
--- a/src/entry/list_watch_base.h
+++ b/src/entry/list_watch_base.h
@@ -21,7 +21,7 @@
 class cluster_node;
 }
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 class instance_list;
 }
 
@@ -32,7 +32,7 @@
 /** What the watch uses; all outlives it. */
 struct list_parts
 {
-  platform::instance_list& mList;
+  store::instance_list& mList;
   leaf_table& mLeaves;
   const ops::log& mLog;
   model::instance_id mSelf;
--- a/src/entry/manifest_store_source.cpp
+++ b/src/entry/manifest_store_source.cpp
@@ -4,9 +4,9 @@
  */
 #include "entry/manifest_store_source_base.h"
 
-#include "platform/head_json_func.h"
-#include "platform/head_type.h"
-#include "platform/key_value_service_base.h"
+#include "store/head_json_func.h"
+#include "store/head_type.h"
+#include "store/key_value_service_base.h"
 
 namespace monsooncroft::entry {
 
@@ -18,8 +18,7 @@
 
 } // namespace
 
-manifest_store_source::manifest_store_source(
-  platform::key_value_service& aStore)
+manifest_store_source::manifest_store_source(store::key_value_service& aStore)
   : mStore(aStore)
 {
 }
@@ -27,29 +26,29 @@
 cluster::head_answer
 manifest_store_source::ReadHead()
 {
-  return ToAnswer(mStore.Get(platform::kHeadKey), false);
+  return ToAnswer(mStore.Get(store::kHeadKey), false);
 }
 
 cluster::head_answer
 manifest_store_source::WatchHead()
 {
-  platform::revision after = 0;
+  store::revision after = 0;
   {
     const std::lock_guard lock(mMutex);
     after = mSeen;
   }
-  return ToAnswer(mStore.Watch(platform::kHeadKey, after, kWatchWait), true);
+  return ToAnswer(mStore.Watch(store::kHeadKey, after, kWatchWait), true);
 }
 
 cluster::head_answer
-manifest_store_source::ToAnswer(const platform::read_outcome& aOutcome,
+manifest_store_source::ToAnswer(const store::read_outcome& aOutcome,
                                 bool aWatch)
 {
   using outcome = cluster::head_answer::outcome;
-  if (aOutcome.mStatus == platform::store_status::NotFound) {
+  if (aOutcome.mStatus == store::store_status::NotFound) {
     return { outcome::Absent, "" };
   }
-  if (aOutcome.mStatus != platform::store_status::Ok) {
+  if (aOutcome.mStatus != store::store_status::Ok) {
     return { outcome::Failed, "" };
   }
   const std::lock_guard lock(mMutex);
@@ -75,8 +74,8 @@
     }
     key = found->second;
   }
-  const platform::read_outcome outcome = mStore.Get(key);
-  if (outcome.mStatus != platform::store_status::Ok) {
+  const store::read_outcome outcome = mStore.Get(key);
+  if (outcome.mStatus != store::store_status::Ok) {
     return std::nullopt;
   }
   return outcome.mValue;
@@ -85,23 +84,23 @@
 std::optional<cluster::manifest_head>
 manifest_store_source::ParseHead(const std::string& aText) const
 {
-  const auto parsed = platform::ParseHead(aText);
+  const auto parsed = store::ParseHead(aText);
   if (!parsed) {
     return std::nullopt;
   }
-  const platform::head& head = parsed.value();
+  const store::head& head = parsed.value();
   cluster::manifest_head out;
   out.mVersion = head.mVersion;
   out.mText = aText;
   out.mChunks.push_back({ kTenantsChunk, head.mTenants.mHash });
-  for (const platform::service_ref& service : head.mServices) {
+  for (const store::service_ref& service : head.mServices) {
     out.mChunks.push_back({ service.mService.Value(), service.mChunk.mHash });
   }
   const std::lock_guard lock(mMutex);
   if (mKeys.size() > kMaxKeys) {
     mKeys.clear();
   }
-  for (const platform::chunk_ref& chunk : head.Chunks()) {
+  for (const store::chunk_ref& chunk : head.Chunks()) {
     mKeys[chunk.mHash] = chunk.Key();
   }
   return out;
@@ -110,7 +109,7 @@
 std::string
 manifest_store_source::Hash(const std::string& aText) const
 {
-  return platform::HashChunk(aText);
+  return store::HashChunk(aText);
 }
 
 } // namespace monsooncroft::entry
--- a/src/entry/manifest_store_source_base.h
+++ b/src/entry/manifest_store_source_base.h
@@ -7,11 +7,11 @@
 
 #include "entry/ranked_mutex_base.h"
 #include "peer/cluster_node_base.h"
-#include "platform/store_type.h"
+#include "store/store_type.h"
 
 #include <map>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 class key_value_service;
 }
 
@@ -24,7 +24,7 @@
 {
 public:
   /** @param aStore The platform; outlives this. */
-  explicit manifest_store_source(platform::key_value_service& aStore);
+  explicit manifest_store_source(store::key_value_service& aStore);
 
   cluster::head_answer ReadHead() override;
   cluster::head_answer WatchHead() override;
@@ -35,12 +35,12 @@
   std::string Hash(const std::string& aText) const override;
 
 private:
-  cluster::head_answer ToAnswer(const platform::read_outcome& aOutcome,
+  cluster::head_answer ToAnswer(const store::read_outcome& aOutcome,
                                 bool aWatch);
 
-  platform::key_value_service& mStore;
+  store::key_value_service& mStore;
   mutable ranked_mutex mMutex{ lock_rank::Tables };
-  platform::revision mSeen = 0; ///< Revision of the head last given.
+  store::revision mSeen = 0; ///< Revision of the head last given.
   /** Platform keys of chunks, by hash, from every head that was parsed. */
   mutable std::map<std::string, std::string> mKeys;
 };
--- a/src/entry/record_driver.cpp
+++ b/src/entry/record_driver.cpp
@@ -7,7 +7,7 @@
 #include "entry/clock_func.h"
 #include "entry/worker_pool_base.h"
 #include "net/http_connector_base.h"
-#include "platform/key_value_service_base.h"
+#include "store/key_value_service_base.h"
 
 #include <algorithm>
 #include <utility>
@@ -30,18 +30,18 @@
 }
 
 once::cas_outcome
-OutcomeOf(platform::store_status aStatus)
+OutcomeOf(store::store_status aStatus)
 {
   switch (aStatus) {
-    case platform::store_status::Ok:
+    case store::store_status::Ok:
       return once::cas_outcome::Stored;
-    case platform::store_status::Conflict:
+    case store::store_status::Conflict:
       return once::cas_outcome::Conflict;
-    case platform::store_status::Ambiguous:
+    case store::store_status::Ambiguous:
       return once::cas_outcome::Ambiguous;
-    case platform::store_status::NotFound:
-    case platform::store_status::Throttled:
-    case platform::store_status::Unavailable:
+    case store::store_status::NotFound:
+    case store::store_status::Throttled:
+    case store::store_status::Unavailable:
       return once::cas_outcome::NotDone;
   }
   return once::cas_outcome::Ambiguous;
@@ -123,10 +123,10 @@
 void
 record_driver::Read()
 {
-  const platform::read_outcome outcome = mParts.mStore.Get(mKey);
+  const store::read_outcome outcome = mParts.mStore.Get(mKey);
   once::read_result result;
-  result.mAvailable = outcome.mStatus == platform::store_status::Ok ||
-                      outcome.mStatus == platform::store_status::NotFound;
+  result.mAvailable = outcome.mStatus == store::store_status::Ok ||
+                      outcome.mStatus == store::store_status::NotFound;
   result.mRevision = outcome.mRevision;
   result.mValue = outcome.mValue;
   once::record_effects effects;
@@ -140,9 +140,9 @@
 void
 record_driver::Write(const once::cas_call& aCall, model::instant aGiveUpAt)
 {
-  const platform::write_outcome outcome =
+  const store::write_outcome outcome =
     mParts.mStore.CompareAndSwap(mKey, aCall.mExpect, aCall.mValue, {});
-  const bool throttled = outcome.mStatus == platform::store_status::Throttled;
+  const bool throttled = outcome.mStatus == store::store_status::Throttled;
   if (throttled && Now() < aGiveUpAt) {
     // Nothing was written: the same write may wait for its turn, and the
     // requests that come meanwhile share the next one.
--- a/src/entry/record_driver_base.h
+++ b/src/entry/record_driver_base.h
@@ -16,7 +16,7 @@
 class http_connector;
 }
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 class key_value_service;
 }
 
@@ -27,7 +27,7 @@
 /** What every bucket uses; all outlives the drivers. */
 struct record_parts
 {
-  platform::key_value_service& mStore;
+  store::key_value_service& mStore;
   worker_pool& mWorkers; ///< Runs the store's blocking calls.
   net::http_connector& mTimers;
 };
--- a/src/entry/settings_map.cpp
+++ b/src/entry/settings_map.cpp
@@ -71,10 +71,10 @@
   return HedgeOf(aSettings, RootPart(aSettings));
 }
 
-platform::platform_options
+store::platform_options
 PlatformOptionsOf(const config::settings& aSettings)
 {
-  platform::platform_options options;
+  store::platform_options options;
   options.mAddresses = aSettings.Endpoints(setting::PlatformAddresses);
   options.mTimeout = aSettings.Milliseconds(setting::PlatformTimeout);
   options.mShare.mReadsPerSecond = aSettings.Number(setting::PlatformReads);
--- a/src/entry/settings_map_func.h
+++ b/src/entry/settings_map_func.h
@@ -12,7 +12,7 @@
 #include "once/quarantine_type.h"
 #include "once/record_type.h"
 #include "ops/log_base.h"
-#include "platform/platform_client_base.h"
+#include "store/platform_client_base.h"
 
 namespace monsooncroft::config {
 class settings;
@@ -29,7 +29,7 @@
 LeafHedgeOf(const config::settings& aSettings);
 hedge_options
 RootHedgeOf(const config::settings& aSettings);
-platform::platform_options
+store::platform_options
 PlatformOptionsOf(const config::settings& aSettings);
 once::record_settings
 RecordSettingsOf(const config::settings& aSettings);
--- a/src/entry/status_page_func.h
+++ b/src/entry/status_page_func.h
@@ -8,8 +8,8 @@
 #include "cluster/member_view_base.h"
 #include "model/identifier_type.h"
 #include "model/manifest_base.h"
-#include "platform/platform_client_base.h"
 #include "policy/drain_table_base.h"
+#include "store/platform_client_base.h"
 
 #include <string>
 #include <vector>
@@ -32,7 +32,7 @@
   int mCallersInFlight = 0;
   int mPeersInFlight = 0;
   std::size_t mLeafConnections = 0;
-  platform::platform_calls mPlatform;
+  store::platform_calls mPlatform;
   cluster::member_view_ptr mMembers; ///< Null before the first view.
   std::vector<policy::drain_mark> mLeaving;
   std::size_t mQuarantine = 0; ///< Marks of requests that killed leaves.
--- a/src/platform/apply.cpp
+++ b/src/store/apply.cpp
@@ -2,12 +2,12 @@
  * @file apply.cpp
  * Making the request of an apply; names of its ends.
  */
-#include "platform/apply_type.h"
+#include "store/apply_type.h"
 
 #include "config/manifest_json_func.h"
-#include "platform/head_json_func.h"
+#include "store/head_json_func.h"
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 namespace {
 
@@ -54,4 +54,4 @@
   return out;
 }
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/src/platform/apply_base.h
+++ b/src/store/apply_base.h
@@ -2,10 +2,10 @@
  * @file apply_base.h
  * The state machine that puts a manifest into force.
  */
-#ifndef MONSOONCROFT_PLATFORM_APPLY_BASE_H
-#define MONSOONCROFT_PLATFORM_APPLY_BASE_H
+#ifndef MONSOONCROFT_STORE_APPLY_BASE_H
+#define MONSOONCROFT_STORE_APPLY_BASE_H
 
-#include "platform/apply_type.h"
+#include "store/apply_type.h"
 
 #include <map>
 #include <memory>
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /**
  * Applies one manifest: reads the head, deletes chunks long out of use, writes
@@ -93,6 +93,6 @@
   apply_verdict mVerdict;
 };
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/apply_cmd.cpp
+++ b/src/store/apply_cmd.cpp
@@ -2,15 +2,15 @@
  * @file apply_cmd.cpp
  * The state machine that puts a manifest into force.
  */
-#include "platform/apply_base.h"
+#include "store/apply_base.h"
 
-#include "platform/head_json_func.h"
+#include "store/head_json_func.h"
 
 #include <algorithm>
 #include <cassert>
 #include <sstream>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 chunk_ref*
 apply_machine::pending_chunk::Place(head& aHead) const
@@ -354,4 +354,4 @@
   return out.str();
 }
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/src/platform/apply_run.cpp
+++ b/src/store/apply_run.cpp
@@ -2,12 +2,12 @@
  * @file apply_run.cpp
  * Drives an apply against a key-value service.
  */
-#include "platform/apply_run_func.h"
+#include "store/apply_run_func.h"
 
-#include "platform/apply_base.h"
-#include "platform/key_value_service_base.h"
+#include "store/apply_base.h"
+#include "store/key_value_service_base.h"
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 void
 StepApply(apply_machine& aMachine, key_value_service& aStore)
@@ -39,4 +39,4 @@
   return machine.Verdict();
 }
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/src/platform/apply_run_func.h
+++ b/src/store/apply_run_func.h
@@ -2,14 +2,14 @@
  * @file apply_run_func.h
  * Drives an apply against a key-value service.
  */
-#ifndef MONSOONCROFT_PLATFORM_APPLY_RUN_FUNC_H
-#define MONSOONCROFT_PLATFORM_APPLY_RUN_FUNC_H
+#ifndef MONSOONCROFT_STORE_APPLY_RUN_FUNC_H
+#define MONSOONCROFT_STORE_APPLY_RUN_FUNC_H
 
-#include "platform/apply_type.h"
+#include "store/apply_type.h"
 
 #include <functional>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 class apply_machine;
 class key_value_service;
@@ -35,6 +35,6 @@
          key_value_service& aStore,
          const std::function<void(int)>& aPause);
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/apply_type.h
+++ b/src/store/apply_type.h
@@ -2,16 +2,16 @@
  * @file apply_type.h
  * What an apply asks for, what it asks of the store, and how it ended.
  */
-#ifndef MONSOONCROFT_PLATFORM_APPLY_TYPE_H
-#define MONSOONCROFT_PLATFORM_APPLY_TYPE_H
+#ifndef MONSOONCROFT_STORE_APPLY_TYPE_H
+#define MONSOONCROFT_STORE_APPLY_TYPE_H
 
-#include "platform/head_type.h"
+#include "store/head_type.h"
 
 #include <string>
 #include <variant>
 #include <vector>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** The text of one chunk with its hash. */
 struct chunk_text
@@ -106,6 +106,6 @@
 const char*
 ToString(apply_end aEnd);
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/call_budget.cpp
+++ b/src/store/call_budget.cpp
@@ -2,11 +2,11 @@
  * @file call_budget.cpp
  * Token buckets of an instance's share.
  */
-#include "platform/call_budget_base.h"
+#include "store/call_budget_base.h"
 
 #include <algorithm>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 namespace {
 
@@ -40,4 +40,4 @@
   return true;
 }
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/src/platform/call_budget_base.h
+++ b/src/store/call_budget_base.h
@@ -2,12 +2,12 @@
  * @file call_budget_base.h
  * An instance's share of the platform's rates.
  */
-#ifndef MONSOONCROFT_PLATFORM_CALL_BUDGET_BASE_H
-#define MONSOONCROFT_PLATFORM_CALL_BUDGET_BASE_H
+#ifndef MONSOONCROFT_STORE_CALL_BUDGET_BASE_H
+#define MONSOONCROFT_STORE_CALL_BUDGET_BASE_H
 
 #include "model/time_type.h"
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** What a call counts as. */
 enum class call_kind
@@ -54,6 +54,6 @@
   bucket mReads;  ///< Tokens for reads.
 };
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/head_json.cpp
+++ b/src/store/head_json.cpp
@@ -2,10 +2,10 @@
  * @file head_json.cpp
  * Heads as JSON, and the hash of chunks.
  */
-#include "platform/head_json_func.h"
+#include "store/head_json_func.h"
 
 #include "config/object_reader_base.h"
-#include "platform/key_value_service_base.h"
+#include "store/key_value_service_base.h"
 
 #include <xxhash.h>
 
@@ -13,7 +13,7 @@
 #include <cstdint>
 #include <limits>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 namespace {
 
@@ -223,4 +223,4 @@
   return Hexadecimal(hash.high64) + Hexadecimal(hash.low64);
 }
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/src/platform/head_json_func.h
+++ b/src/store/head_json_func.h
@@ -2,15 +2,15 @@
  * @file head_json_func.h
  * Heads as JSON, and the hash of chunks.
  */
-#ifndef MONSOONCROFT_PLATFORM_HEAD_JSON_FUNC_H
-#define MONSOONCROFT_PLATFORM_HEAD_JSON_FUNC_H
+#ifndef MONSOONCROFT_STORE_HEAD_JSON_FUNC_H
+#define MONSOONCROFT_STORE_HEAD_JSON_FUNC_H
 
 #include "config/config_error_type.h"
-#include "platform/head_type.h"
+#include "store/head_type.h"
 
 #include <string>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /**
  * Reads a head.
@@ -31,6 +31,6 @@
 std::string
 HashChunk(const std::string& aText);
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/head_type.h
+++ b/src/store/head_type.h
@@ -2,18 +2,18 @@
  * @file head_type.h
  * The head: the one small value that says which manifest is in force.
  */
-#ifndef MONSOONCROFT_PLATFORM_HEAD_TYPE_H
-#define MONSOONCROFT_PLATFORM_HEAD_TYPE_H
+#ifndef MONSOONCROFT_STORE_HEAD_TYPE_H
+#define MONSOONCROFT_STORE_HEAD_TYPE_H
 
 #include "model/manifest_base.h"
-#include "platform/store_type.h"
+#include "store/store_type.h"
 
 #include <compare>
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 using change_id =
   model::identifier<struct change_tag>; ///< One apply; never used twice.
@@ -91,6 +91,6 @@
   bool operator==(const head&) const = default;
 };
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/instance_list_base.h
+++ b/src/store/instance_list_base.h
@@ -2,12 +2,12 @@
  * @file instance_list_base.h
  * The platform's list of instances, which lags.
  */
-#ifndef MONSOONCROFT_PLATFORM_INSTANCE_LIST_BASE_H
-#define MONSOONCROFT_PLATFORM_INSTANCE_LIST_BASE_H
+#ifndef MONSOONCROFT_STORE_INSTANCE_LIST_BASE_H
+#define MONSOONCROFT_STORE_INSTANCE_LIST_BASE_H
 
-#include "platform/instance_type.h"
+#include "store/instance_type.h"
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** Source of the list. Thread safe. */
 class instance_list
@@ -18,6 +18,6 @@
   virtual instances_outcome List() = 0;
 };
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/instance_type.h
+++ b/src/store/instance_type.h
@@ -2,16 +2,16 @@
  * @file instance_type.h
  * Entries of the platform's instance list.
  */
-#ifndef MONSOONCROFT_PLATFORM_INSTANCE_TYPE_H
-#define MONSOONCROFT_PLATFORM_INSTANCE_TYPE_H
+#ifndef MONSOONCROFT_STORE_INSTANCE_TYPE_H
+#define MONSOONCROFT_STORE_INSTANCE_TYPE_H
 
 #include "model/endpoint_type.h"
 #include "model/identifier_type.h"
-#include "platform/store_type.h"
+#include "store/store_type.h"
 
 #include <vector>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** What an instance is. */
 enum class instance_role
@@ -42,6 +42,6 @@
   bool operator==(const instances_outcome&) const = default;
 };
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/key_value_service_base.h
+++ b/src/store/key_value_service_base.h
@@ -2,15 +2,15 @@
  * @file key_value_service_base.h
  * The platform's key-value service.
  */
-#ifndef MONSOONCROFT_PLATFORM_KEY_VALUE_SERVICE_BASE_H
-#define MONSOONCROFT_PLATFORM_KEY_VALUE_SERVICE_BASE_H
+#ifndef MONSOONCROFT_STORE_KEY_VALUE_SERVICE_BASE_H
+#define MONSOONCROFT_STORE_KEY_VALUE_SERVICE_BASE_H
 
-#include "platform/store_type.h"
+#include "store/store_type.h"
 
 #include <chrono>
 #include <string>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** Longest value that the service holds. */
 constexpr std::size_t kMaxValueBytes = 1'000'000;
@@ -59,6 +59,6 @@
   virtual write_outcome Revoke(const lease_id& aLease) = 0; ///< Ends a lease.
 };
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/manifest_fetch.cpp
+++ b/src/store/manifest_fetch.cpp
@@ -2,12 +2,12 @@
  * @file manifest_fetch.cpp
  * Feeds a reader from the platform.
  */
-#include "platform/manifest_fetch_func.h"
+#include "store/manifest_fetch_func.h"
 
-#include "platform/key_value_service_base.h"
-#include "platform/manifest_reader_base.h"
+#include "store/key_value_service_base.h"
+#include "store/manifest_reader_base.h"
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 fetch_outcome
 FetchManifest(key_value_service& aStore, manifest_reader& aReader)
@@ -49,4 +49,4 @@
   return out;
 }
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/src/platform/manifest_fetch_func.h
+++ b/src/store/manifest_fetch_func.h
@@ -2,13 +2,13 @@
  * @file manifest_fetch_func.h
  * Feeds a reader from the platform.
  */
-#ifndef MONSOONCROFT_PLATFORM_MANIFEST_FETCH_FUNC_H
-#define MONSOONCROFT_PLATFORM_MANIFEST_FETCH_FUNC_H
+#ifndef MONSOONCROFT_STORE_MANIFEST_FETCH_FUNC_H
+#define MONSOONCROFT_STORE_MANIFEST_FETCH_FUNC_H
 
-#include "platform/manifest_reader_type.h"
-#include "platform/store_type.h"
+#include "store/manifest_reader_type.h"
+#include "store/store_type.h"
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 class key_value_service;
 class manifest_reader;
@@ -41,6 +41,6 @@
               const read_outcome& aHead,
               manifest_reader& aReader);
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/manifest_plan.cpp
+++ b/src/store/manifest_plan.cpp
@@ -2,7 +2,7 @@
  * @file manifest_plan.cpp
  * The differences between two manifests.
  */
-#include "platform/manifest_plan_type.h"
+#include "store/manifest_plan_type.h"
 
 #include "config/manifest_json_func.h"
 
@@ -10,7 +10,7 @@
 
 #include <map>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 namespace {
 
@@ -148,4 +148,4 @@
   return "";
 }
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/src/platform/manifest_plan_type.h
+++ b/src/store/manifest_plan_type.h
@@ -2,15 +2,15 @@
  * @file manifest_plan_type.h
  * What a new manifest would change.
  */
-#ifndef MONSOONCROFT_PLATFORM_MANIFEST_PLAN_TYPE_H
-#define MONSOONCROFT_PLATFORM_MANIFEST_PLAN_TYPE_H
+#ifndef MONSOONCROFT_STORE_MANIFEST_PLAN_TYPE_H
+#define MONSOONCROFT_STORE_MANIFEST_PLAN_TYPE_H
 
 #include "model/manifest_base.h"
 
 #include <string>
 #include <vector>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** What happens to an entry. */
 enum class plan_change
@@ -60,6 +60,6 @@
 const char*
 ToString(plan_subject aSubject);
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/manifest_reader.cpp
+++ b/src/store/manifest_reader.cpp
@@ -2,15 +2,15 @@
  * @file manifest_reader.cpp
  * Follows the manifest upwards.
  */
-#include "platform/manifest_reader_base.h"
+#include "store/manifest_reader_base.h"
 
 #include "config/manifest_json_func.h"
-#include "platform/head_json_func.h"
+#include "store/head_json_func.h"
 
 #include <algorithm>
 #include <set>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 const char*
 ToString(alarm_kind aKind)
@@ -254,4 +254,4 @@
   return out;
 }
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/src/platform/manifest_reader_base.h
+++ b/src/store/manifest_reader_base.h
@@ -2,11 +2,11 @@
  * @file manifest_reader_base.h
  * Follows the manifest upwards, whoever tells of it.
  */
-#ifndef MONSOONCROFT_PLATFORM_MANIFEST_READER_BASE_H
-#define MONSOONCROFT_PLATFORM_MANIFEST_READER_BASE_H
+#ifndef MONSOONCROFT_STORE_MANIFEST_READER_BASE_H
+#define MONSOONCROFT_STORE_MANIFEST_READER_BASE_H
 
-#include "platform/head_type.h"
-#include "platform/manifest_reader_type.h"
+#include "store/head_type.h"
+#include "store/manifest_reader_type.h"
 
 #include <map>
 #include <memory>
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /**
  * Decides which manifest is in force. It only ever moves to a higher version,
@@ -88,6 +88,6 @@
   std::map<alarm_kind, manifest_alarm> mAlarms; ///< Those that stand.
 };
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/manifest_reader_type.h
+++ b/src/store/manifest_reader_type.h
@@ -2,14 +2,14 @@
  * @file manifest_reader_type.h
  * What an instance makes of the heads that it is told of.
  */
-#ifndef MONSOONCROFT_PLATFORM_MANIFEST_READER_TYPE_H
-#define MONSOONCROFT_PLATFORM_MANIFEST_READER_TYPE_H
+#ifndef MONSOONCROFT_STORE_MANIFEST_READER_TYPE_H
+#define MONSOONCROFT_STORE_MANIFEST_READER_TYPE_H
 
 #include "model/manifest_base.h"
 
 #include <string>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** Where a head came from. */
 enum class head_source
@@ -52,6 +52,6 @@
 const char*
 ToString(alarm_kind aKind);
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/platform_client.cpp
+++ b/src/store/platform_client.cpp
@@ -2,7 +2,7 @@
  * @file platform_client.cpp
  * The platform over HTTP.
  */
-#include "platform/platform_client_base.h"
+#include "store/platform_client_base.h"
 
 #include "net/http_pool_base.h"
 
@@ -11,7 +11,7 @@
 #include <cassert>
 #include <optional>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 namespace {
 
@@ -342,4 +342,4 @@
   return out;
 }
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/src/platform/platform_client_base.h
+++ b/src/store/platform_client_base.h
@@ -2,13 +2,13 @@
  * @file platform_client_base.h
  * The platform over HTTP.
  */
-#ifndef MONSOONCROFT_PLATFORM_PLATFORM_CLIENT_BASE_H
-#define MONSOONCROFT_PLATFORM_PLATFORM_CLIENT_BASE_H
+#ifndef MONSOONCROFT_STORE_PLATFORM_CLIENT_BASE_H
+#define MONSOONCROFT_STORE_PLATFORM_CLIENT_BASE_H
 
 #include "model/endpoint_type.h"
-#include "platform/call_budget_base.h"
-#include "platform/instance_list_base.h"
-#include "platform/key_value_service_base.h"
+#include "store/call_budget_base.h"
+#include "store/instance_list_base.h"
+#include "store/key_value_service_base.h"
 
 #include <atomic>
 #include <functional>
@@ -21,7 +21,7 @@
 struct exchange_result;
 }
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** How the platform is reached. */
 struct platform_options
@@ -102,6 +102,6 @@
   std::atomic<std::size_t> mPreferred{ 0 }; ///< Address that last answered.
 };
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/src/platform/store.cpp
+++ b/src/store/store.cpp
@@ -2,9 +2,9 @@
  * @file store.cpp
  * Names of statuses.
  */
-#include "platform/store_type.h"
+#include "store/store_type.h"
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 const char*
 ToString(store_status aStatus)
@@ -26,4 +26,4 @@
   return "unknown";
 }
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/src/platform/store_type.h
+++ b/src/store/store_type.h
@@ -2,13 +2,13 @@
  * @file store_type.h
  * What calls to the platform's key-value service end in.
  */
-#ifndef MONSOONCROFT_PLATFORM_STORE_TYPE_H
-#define MONSOONCROFT_PLATFORM_STORE_TYPE_H
+#ifndef MONSOONCROFT_STORE_STORE_TYPE_H
+#define MONSOONCROFT_STORE_STORE_TYPE_H
 
 #include <cstdint>
 #include <string>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** Revision of a key; only grows; 0: the key is absent. */
 using revision = std::uint64_t;
@@ -68,6 +68,6 @@
 const char*
 ToString(store_status aStatus);
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/test/ctl/command_test.cpp
+++ b/test/ctl/command_test.cpp
@@ -7,10 +7,10 @@
 #include "ctl/command_func.h"
 #include "ctl/command_line_func.h"
 #include "ctl/instance_client_base.h"
-#include "platform/apply_run_func.h"
-#include "platform/apply_type.h"
-#include "platform/instance_list_base.h"
-#include "test/platform/fake_key_value.h"
+#include "store/apply_run_func.h"
+#include "store/apply_type.h"
+#include "store/instance_list_base.h"
+#include "test/store/fake_key_value.h"
 
 #include <gtest/gtest.h>
 
@@ -29,7 +29,7 @@
 /** Two instances; the second is reached after some tries. */
 class fake_tier final
   : public instance_client
-  , public platform::instance_list
+  , public store::instance_list
 {
 public:
   std::vector<net::exchange_result> CallAll(
@@ -44,11 +44,11 @@
     return out;
   }
 
-  platform::instances_outcome List() override
+  store::instances_outcome List() override
   {
-    platform::instances_outcome out{ platform::store_status::Ok, {} };
+    store::instances_outcome out{ store::store_status::Ok, {} };
     for (int i = 0; i < 2; ++i) {
-      platform::listed_instance entry;
+      store::listed_instance entry;
       entry.mId = "e" + std::to_string(i);
       entry.mCallerAddress = { "127.0.0.1",
                                static_cast<std::uint16_t>(kFirstPort + i) };
@@ -136,7 +136,7 @@
     return json::parse(last, nullptr, false);
   }
 
-  platform::fake_key_value mStore;
+  store::fake_key_value mStore;
   fake_tier mTier;
   command_context mContext;
   std::ostringstream mOut;
--- a/test/matrix/change_world.cpp
+++ b/test/matrix/change_world.cpp
@@ -4,13 +4,13 @@
  */
 #include "matrix/change_world.h"
 
-#include "platform/head_json_func.h"
+#include "store/head_json_func.h"
 
 #include <algorithm>
 
 namespace monsooncroft::test {
 
-using platform::store_fault;
+using store::store_fault;
 
 namespace {
 
@@ -19,13 +19,13 @@
 constexpr int kOutageCalls = 1000;   ///< More than any command makes.
 const std::string kVictim = "dc0-0";
 
-platform::apply_request
+store::apply_request
 Request(const std::string& aChange, bool aRepeated)
 {
   model::tenant tenant;
   tenant.mId = model::tenant_id("tenant-" + aChange);
-  auto out = platform::apply_request::Of(model::manifest(0, { tenant }, {}),
-                                         platform::change_id(aChange));
+  auto out = store::apply_request::Of(model::manifest(0, { tenant }, {}),
+                                      store::change_id(aChange));
   out.mRepeated = aRepeated;
   return out;
 }
@@ -79,8 +79,8 @@
   for (const auto& [id, instance] : mNetwork.mInstances) {
     mEvidence.mAdopted[id] = instance.mAdopted;
   }
-  for (const std::string& text : mStore.Values(platform::kHeadKey)) {
-    mEvidence.mHeads.push_back(platform::ParseHead(text).value());
+  for (const std::string& text : mStore.Values(store::kHeadKey)) {
+    mEvidence.mHeads.push_back(store::ParseHead(text).value());
   }
   for (const command& each : mCommands) {
     const bool over = !each.mMachine.Next();
@@ -94,8 +94,7 @@
 change_world::Add(const std::string& aChange, bool aRepeated)
 {
   const auto request = Request(aChange, aRepeated);
-  mCommands.push_back(
-    { platform::apply_machine(request), request.mChange, true });
+  mCommands.push_back({ store::apply_machine(request), request.mChange, true });
   return mCommands.back();
 }
 
@@ -131,30 +130,30 @@
 void
 change_world::Advance(command& aCommand)
 {
-  const platform::store_call call = *aCommand.mMachine.Next();
+  const store::store_call call = *aCommand.mMachine.Next();
   const store_fault fault = OnCall(aCommand);
-  if (const auto* get = std::get_if<platform::get_call>(&call)) {
+  if (const auto* get = std::get_if<store::get_call>(&call)) {
     aCommand.mMachine.OnRead(mStore.Get(get->mKey, fault));
-  } else if (const auto* swap = std::get_if<platform::swap_call>(&call)) {
+  } else if (const auto* swap = std::get_if<store::swap_call>(&call)) {
     const auto end =
       mStore.Swap(swap->mKey, swap->mExpect, swap->mValue, fault);
     if (aCommand.mAlive) {
       aCommand.mMachine.OnWrite(end);
     }
   } else {
-    const auto& removal = std::get<platform::delete_call>(call);
+    const auto& removal = std::get<store::delete_call>(call);
     aCommand.mMachine.OnWrite(
       mStore.Delete(removal.mKey, removal.mExpect, fault));
   }
 }
 
 /** How the present call of a command ends; disturbs it at the step. */
-platform::store_fault
+store::store_fault
 change_world::OnCall(command& aCommand)
 {
-  const platform::store_call call = *aCommand.mMachine.Next();
-  const auto* swap = std::get_if<platform::swap_call>(&call);
-  const bool head = swap != nullptr && swap->mKey == platform::kHeadKey;
+  const store::store_call call = *aCommand.mMachine.Next();
+  const auto* swap = std::get_if<store::swap_call>(&call);
+  const bool head = swap != nullptr && swap->mKey == store::kHeadKey;
   const bool here =
     swap != nullptr && mStep == (head ? step::Head : step::Chunks);
   if (here && !mReached) {
@@ -281,11 +280,11 @@
 void
 change_world::Publish()
 {
-  const auto heads = mStore.Values(platform::kHeadKey);
+  const auto heads = mStore.Values(store::kHeadKey);
   if (heads.empty()) {
     return;
   }
-  const auto newest = platform::ParseHead(heads.back()).value().mVersion;
+  const auto newest = store::ParseHead(heads.back()).value().mVersion;
   if (newest != mPublished) {
     mPublished = newest;
     mNetwork.mPlatform.Apply(newest);
--- a/test/matrix/change_world.h
+++ b/test/matrix/change_world.h
@@ -8,8 +8,8 @@
 #include "cluster/fake_network.h"
 #include "matrix/cell_type.h"
 #include "matrix/evidence_type.h"
-#include "platform/apply_base.h"
-#include "platform/fake_store.h"
+#include "store/apply_base.h"
+#include "store/fake_store.h"
 
 #include <list>
 #include <optional>
@@ -31,8 +31,8 @@
   /** An operator's command. */
   struct command
   {
-    platform::apply_machine mMachine;
-    platform::change_id mChange;
+    store::apply_machine mMachine;
+    store::change_id mChange;
     bool mAlive = true;
   };
 
@@ -40,7 +40,7 @@
   void RunCommands();
   void Advance(command& aCommand);
   void Finish(command& aCommand);
-  platform::store_fault OnCall(command& aCommand);
+  store::store_fault OnCall(command& aCommand);
   void DisturbCommand(command& aCommand);
   void DisturbNetwork();
   void Replace(const std::string& aId);
@@ -51,9 +51,9 @@
   std::optional<fault> mFault;
   step mStep;
   unsigned mSeed;
-  platform::fake_store mStore;
+  store::fake_store mStore;
   std::list<command> mCommands;
-  platform::store_fault mNextCall = platform::store_fault::None;
+  store::store_fault mNextCall = store::store_fault::None;
   int mDownCalls = 0; ///< Calls that are still refused.
   model::manifest_version mPublished = 0;
   fake_network mNetwork;
--- a/test/matrix/checker.cpp
+++ b/test/matrix/checker.cpp
@@ -174,10 +174,10 @@
 
   void CheckChange(const applied_change& aChange)
   {
-    using platform::apply_end;
+    using store::apply_end;
     int accepted = 0;
     model::manifest_version version = 0;
-    for (const platform::head& head : mEvidence.mHeads) {
+    for (const store::head& head : mEvidence.mHeads) {
       const bool own = head.mChange == aChange.mChange;
       accepted += own ? 1 : 0;
       version = own ? head.mVersion : version;
--- a/test/matrix/evidence_type.h
+++ b/test/matrix/evidence_type.h
@@ -7,7 +7,7 @@
 
 #include "model/answer_type.h"
 #include "model/manifest_base.h"
-#include "platform/apply_type.h"
+#include "store/apply_type.h"
 
 #include <map>
 #include <optional>
@@ -46,8 +46,8 @@
 /** One apply of an operator. */
 struct applied_change
 {
-  platform::change_id mChange;
-  std::optional<platform::apply_verdict> mVerdict; ///< Nothing: was killed.
+  store::change_id mChange;
+  std::optional<store::apply_verdict> mVerdict; ///< Nothing: was killed.
 };
 
 /** Everything that happened. */
@@ -61,7 +61,7 @@
   int mMostKilled = 2;       ///< Allowed.
 
   std::vector<applied_change> mChanges;
-  std::vector<platform::head> mHeads; ///< Every head that the store had.
+  std::vector<store::head> mHeads; ///< Every head that the store had.
   std::map<std::string, std::vector<model::manifest_version>>
     mAdopted;                     ///< By life of an instance, in order.
   bool mInForceEverywhere = true; ///< The newest head, at the end.
--- a/test/platform/apply_test.cpp
+++ b/test/store/apply_test.cpp
@@ -3,12 +3,12 @@
  * Applies against each other, in every order and with every fault.
  */
 #include "config/manifest_json_func.h"
-#include "platform/apply_base.h"
-#include "platform/apply_run_func.h"
-#include "platform/head_json_func.h"
-#include "platform/manifest_fetch_func.h"
-#include "platform/manifest_reader_base.h"
-#include "test/platform/fake_key_value.h"
+#include "store/apply_base.h"
+#include "store/apply_run_func.h"
+#include "store/head_json_func.h"
+#include "store/manifest_fetch_func.h"
+#include "store/manifest_reader_base.h"
+#include "test/store/fake_key_value.h"
 
 #include <gtest/gtest.h>
 
@@ -16,7 +16,7 @@
 #include <iostream>
 #include <unordered_set>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 namespace {
 
 model::manifest
@@ -330,4 +330,4 @@
 }
 
 } // namespace
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/test/platform/fake_key_value.h
+++ b/test/store/fake_key_value.h
@@ -2,16 +2,16 @@
  * @file fake_key_value.h
  * The fake store behind the interface, with faults drawn from a seed.
  */
-#ifndef MONSOONCROFT_TEST_PLATFORM_FAKE_KEY_VALUE_H
-#define MONSOONCROFT_TEST_PLATFORM_FAKE_KEY_VALUE_H
+#ifndef MONSOONCROFT_TEST_STORE_FAKE_KEY_VALUE_H
+#define MONSOONCROFT_TEST_STORE_FAKE_KEY_VALUE_H
 
-#include "platform/key_value_service_base.h"
-#include "test/platform/fake_store.h"
+#include "store/key_value_service_base.h"
+#include "test/store/fake_store.h"
 
 #include <mutex>
 #include <random>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** A key-value service in memory. Thread safe. */
 class fake_key_value final : public key_value_service
@@ -106,6 +106,6 @@
   int mLeases = 0;         ///< Leases granted.
 };
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/test/platform/fake_store.h
+++ b/test/store/fake_store.h
@@ -2,16 +2,16 @@
  * @file fake_store.h
  * A key-value store in memory whose calls can go wrong in every known way.
  */
-#ifndef MONSOONCROFT_TEST_PLATFORM_FAKE_STORE_H
-#define MONSOONCROFT_TEST_PLATFORM_FAKE_STORE_H
+#ifndef MONSOONCROFT_TEST_STORE_FAKE_STORE_H
+#define MONSOONCROFT_TEST_STORE_FAKE_STORE_H
 
-#include "platform/store_type.h"
+#include "store/store_type.h"
 
 #include <map>
 #include <string>
 #include <vector>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 
 /** How one call goes wrong. */
 enum class store_fault
@@ -159,6 +159,6 @@
   std::vector<write> mDelayed; ///< Writes that have not landed yet.
 };
 
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
 
 #endif
--- a/test/platform/manifest_reader_test.cpp
+++ b/test/store/manifest_reader_test.cpp
@@ -3,17 +3,17 @@
  * An instance only ever moves to a higher, valid manifest; plans are exact.
  */
 #include "config/manifest_json_func.h"
-#include "platform/apply_run_func.h"
-#include "platform/call_budget_base.h"
-#include "platform/head_json_func.h"
-#include "platform/manifest_fetch_func.h"
-#include "platform/manifest_plan_type.h"
-#include "platform/manifest_reader_base.h"
-#include "test/platform/fake_key_value.h"
+#include "store/apply_run_func.h"
+#include "store/call_budget_base.h"
+#include "store/head_json_func.h"
+#include "store/manifest_fetch_func.h"
+#include "store/manifest_plan_type.h"
+#include "store/manifest_reader_base.h"
+#include "test/store/fake_key_value.h"
 
 #include <gtest/gtest.h>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 namespace {
 
 model::service
@@ -163,4 +163,4 @@
 }
 
 } // namespace
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
--- a/test/platform/platform_client_test.cpp
+++ b/test/store/platform_client_test.cpp
@@ -5,13 +5,13 @@
 #include "net/http_connector_base.h"
 #include "net/http_pool_base.h"
 #include "net/http_server_base.h"
-#include "platform/platform_client_base.h"
+#include "store/platform_client_base.h"
 
 #include <gtest/gtest.h>
 
 #include <mutex>
 
-namespace monsooncroft::platform {
+namespace monsooncroft::store {
 namespace {
 
 using net::http_response;
@@ -159,4 +159,4 @@
 }
 
 } // namespace
-} // namespace monsooncroft::platform
+} // namespace monsooncroft::store
