--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -84,6 +84,7 @@
   std::set<std::string> present;
   for (const leaf_entry& entry : aRead.mEntries) {
     present.insert(entry.mId);
+    mMissing.erase(entry.mId);
     if (Put(entry, aRead.mRevision)) {
       delta.mChanged.push_back(entry);
     }
@@ -112,6 +113,7 @@
   const bool keeps = KeepsMissing(aNow);
   directory_delta delta{ mRevision, aChanges.mRevision, {}, {} };
   for (const leaf_entry& entry : aChanges.mChanged) {
+    mMissing.erase(entry.mId);
     if (Put(entry, aChanges.mRevision)) {
       delta.mChanged.push_back(entry);
     }
--- a/test/serving/directory_test.cpp
+++ b/test/serving/directory_test.cpp
@@ -44,6 +44,18 @@
   EXPECT_EQ(directory.Size(), 2U);
 }
 
+/** A store may give a registration back as it was. */
+TEST(LeafDirectory, ARegistrationThatReturnsUnchangedStays)
+{
+  leaf_directory directory;
+  directory.OnRead({ 10, { Leaf("a", 1) } }, kStart);
+  const auto back = kStart + seconds(5);
+  directory.OnRead({ 12, {} }, back);
+  directory.OnRead({ 13, { Leaf("a", 1) } }, back + seconds(1));
+  EXPECT_FALSE(directory.Settle(back + milliseconds(2'400)));
+  EXPECT_EQ(directory.Size(), 1U);
+}
+
 TEST(LeafDirectory, RegistrationsThatLapsedWithTheStoreMayReturn)
 {
   leaf_directory directory;
