--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -78,8 +78,7 @@
 serving::fleet_message
 control_plane::Message(bool aWantsReply)
 {
-  serving::fleet_message message;
-  message.mMembers = mFleet.Told();
+  serving::fleet_message message = mFleet.Told(event_loop::Now());
   message.mWantsReply = aWantsReply;
   message.mSuspects = mHooks.mSuspects();
   message.mDeaths = mHooks.mDeaths();
@@ -133,7 +132,8 @@
                        model::instant aNow)
 {
   const std::string bytes = serving::EncodeMessage(aMessage);
-  for (const serving::fleet_member& member : mFleet.Live(aNow)) {
+  // Also to those that seem silent: a leaf's drain must reach all.
+  for (const serving::fleet_member& member : mFleet.Counted(aNow)) {
     mPort.Send(member.mPeer, bytes);
   }
 }
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -138,6 +138,18 @@
   return delta;
 }
 
+/** One flat array: a message has one for nearly each member. */
+json
+ToArray(const std::vector<fleet_beat>& aBeats)
+{
+  json out = json::array();
+  for (const fleet_beat& beat : aBeats) {
+    out.push_back(beat.mMember);
+    out.push_back(beat.mBeat);
+  }
+  return out;
+}
+
 std::string
 Pack(const json& aValue)
 {
@@ -169,7 +181,8 @@
                             ToArrays(aMessage.mDeltas),
                             ToArrays(aMessage.mDeaths),
                             ToArrays(aMessage.mObservations),
-                            aMessage.mLostWays }));
+                            aMessage.mLostWays,
+                            ToArray(aMessage.mBeats) }));
 }
 
 std::optional<fleet_message>
@@ -198,6 +211,11 @@
       message.mObservations.push_back(std::move(seen));
     }
     message.mLostWays = value->at(7).get<std::vector<std::string>>();
+    const json& beats = value->at(8);
+    for (std::size_t place = 0; place + 1 < beats.size(); place += 2) {
+      message.mBeats.push_back({ beats[place].get<std::uint32_t>(),
+                                 beats[place + 1].get<std::uint64_t>() });
+    }
     for (const json& delta : value->at(4)) {
       message.mDeltas.push_back(ToDelta(delta));
     }
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -38,6 +38,15 @@
   }
 };
 
+/** A member's beat, for who knows the member already. */
+struct fleet_beat
+{
+  std::uint32_t mMember = 0; ///< Hash of its name and incarnation.
+  std::uint64_t mBeat = 0;
+
+  bool operator==(const fleet_beat&) const = default;
+};
+
 /** A leaf that an instance sees standing still. */
 struct leaf_suspicion
 {
@@ -67,6 +76,7 @@
   std::vector<once::death_mark> mDeaths; ///< Of leaves, with the request.
   std::vector<leaf_observation> mObservations;
   std::vector<std::string> mLostWays; ///< Data centres out of reach.
+  std::vector<fleet_beat> mBeats;
 
   bool operator==(const fleet_message&) const = default;
 };
--- a/src/serving/fleet_view.cpp
+++ b/src/serving/fleet_view.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <unordered_map>
 
 namespace monsooncroft::serving {
 
@@ -69,6 +70,14 @@
   return targets;
 }
 
+fleet_view::known_member
+fleet_view::Known(const fleet_member& aMember, model::instant aNow)
+{
+  const std::uint64_t hash = cluster::RendezvousWeight(
+    cluster::HashOf(aMember.mName), aMember.mIncarnation);
+  return { aMember, aNow, static_cast<std::uint32_t>(hash) };
+}
+
 void
 fleet_view::OnMessage(const fleet_message& aMessage, model::instant aNow)
 {
@@ -77,29 +86,45 @@
       continue;
     }
     const auto [place, fresh] =
-      mKnown.try_emplace(member.mName, known_member{ member, aNow });
+      mKnown.try_emplace(member.mName, Known(member, aNow));
     if (!fresh && member.NewerThan(place->second.mMember)) {
-      place->second = { member, aNow };
+      place->second = Known(member, aNow);
+    }
+  }
+  std::unordered_map<std::uint32_t, std::uint64_t> beats;
+  for (const fleet_beat& beat : aMessage.mBeats) {
+    beats.emplace(beat.mMember, beat.mBeat);
+  }
+  for (auto& [name, known] : mKnown) {
+    const auto beat = beats.find(known.mHash);
+    if (beat != beats.end() && beat->second > known.mMember.mBeat) {
+      known.mMember.mBeat = beat->second;
+      known.mHeard = aNow;
     }
   }
 }
 
-std::vector<fleet_member>
-fleet_view::Told()
+fleet_message
+fleet_view::Told(model::instant aNow)
 {
-  std::vector<fleet_member> others;
+  std::vector<const known_member*> others;
   others.reserve(mKnown.size());
   for (const auto& [name, known] : mKnown) {
-    others.push_back(known.mMember);
+    others.push_back(&known);
   }
   // Any of them, not the freshest: all instances would tell the same ones.
-  std::vector<fleet_member> told{ mSelf };
-  std::sample(others.begin(),
-              others.end(),
-              std::back_inserter(told),
-              mTerms.mMembersPerMessage - 1,
-              mRandom);
-  return told;
+  std::shuffle(others.begin(), others.end(), mRandom);
+  fleet_message message;
+  message.mMembers.push_back(mSelf);
+  for (const known_member* other : others) {
+    if (message.mMembers.size() < mTerms.mMembersPerMessage) {
+      message.mMembers.push_back(other->mMember);
+    } else if (message.mBeats.size() < mTerms.mBeatsPerMessage &&
+               aNow - other->mHeard <= mTerms.mSilentAfter) {
+      message.mBeats.push_back({ other->mHash, other->mMember.mBeat });
+    }
+  }
+  return message;
 }
 
 void
@@ -110,15 +135,27 @@
 }
 
 std::vector<fleet_member>
-fleet_view::Live(model::instant aNow) const
+fleet_view::HeardWithin(model::duration aTime, model::instant aNow) const
 {
-  std::vector<fleet_member> live;
+  std::vector<fleet_member> heard;
   for (const auto& [name, known] : mKnown) {
-    if (aNow - known.mHeard <= mTerms.mSilentAfter) {
-      live.push_back(known.mMember);
+    if (aNow - known.mHeard <= aTime) {
+      heard.push_back(known.mMember);
     }
   }
-  return live;
+  return heard;
+}
+
+std::vector<fleet_member>
+fleet_view::Live(model::instant aNow) const
+{
+  return HeardWithin(mTerms.mSilentAfter, aNow);
+}
+
+std::vector<fleet_member>
+fleet_view::Counted(model::instant aNow) const
+{
+  return HeardWithin(mTerms.mCountedFor, aNow);
 }
 
 fleet_size
--- a/src/serving/fleet_view_base.h
+++ b/src/serving/fleet_view_base.h
@@ -19,10 +19,11 @@
 struct fleet_terms
 {
   std::chrono::milliseconds mPeriod{ 250 }; ///< Between two rounds.
-  std::size_t mFanout = 3;                  ///< Members told in each round;
+  std::size_t mFanout = 4;                  ///< Members told in each round;
                                             ///< one of them anywhere.
-  std::size_t mMembersPerMessage = 16;      ///< So that it fits a datagram.
-  std::chrono::milliseconds mSilentAfter{ 1'500 }; ///< Then it counts as gone.
+  std::size_t mMembersPerMessage = 15; ///< In full; the beats of others fill
+  std::size_t mBeatsPerMessage = 30;   ///< the rest of a datagram.
+  std::chrono::milliseconds mSilentAfter{ 2'000 }; ///< Then it counts as gone.
   std::chrono::milliseconds mCountedFor{ 15'000 }; ///< It may still hold
                                                    ///< connections and budget.
 };
@@ -50,8 +51,9 @@
   /** Raises the own beat. @return To whom this round's message goes. */
   std::vector<model::endpoint> OnRound(model::instant aNow);
   void OnMessage(const fleet_message& aMessage, model::instant aNow);
-  /** The members that a message tells of, this one first. */
-  std::vector<fleet_member> Told();
+  /** The members that a message tells of, this one first, and the beats of
+   * others. */
+  fleet_message Told(model::instant aNow);
 
   void SetConfigVersion(std::uint64_t aVersion);
   void SetReachesStore(bool aReaches) { mSelf.mReachesStore = aReaches; }
@@ -61,6 +63,8 @@
   const fleet_member& Self() const { return mSelf; }
   /** Members heard of lately, without this one. */
   std::vector<fleet_member> Live(model::instant aNow) const;
+  /** Members that may be running, without this one. */
+  std::vector<fleet_member> Counted(model::instant aNow) const;
   /** This one and all that may still hold connections or spend budget. */
   fleet_size CountedInstances(model::instant aNow) const;
   /**
@@ -80,8 +84,13 @@
   {
     fleet_member mMember;
     model::instant mHeard;
+    std::uint32_t mHash = 0; ///< As in fleet_beat.
   };
 
+  std::vector<fleet_member> HeardWithin(model::duration aTime,
+                                        model::instant aNow) const;
+  static known_member Known(const fleet_member& aMember, model::instant aNow);
+
   fleet_member mSelf;
   std::vector<model::endpoint> mSeeds;
   fleet_terms mTerms;
--- a/src/serving/leaf_load.cpp
+++ b/src/serving/leaf_load.cpp
@@ -37,6 +37,9 @@
 /** An attempt that ends after such a time without any answer of the leaf in it
  * shows that the leaf, or the way to it, is gone: longer than its pauses. */
 constexpr std::chrono::milliseconds kLongSilence{ 300 };
+/** Longer than between two tries of a leaf to which a connection is kept open,
+ * each of which renews it; others are tried again then, by a request. */
+constexpr std::chrono::milliseconds kFailedFor{ 2'000 };
 /** Pauses between tries of a leaf that refuses, doubled each time. */
 constexpr std::chrono::milliseconds kFirstRefusal{ 150 };
 constexpr std::chrono::milliseconds kLongestRefusal{ 1'000 };
@@ -96,7 +99,7 @@
   const bool silent = !mLastAnswer || *mLastAnswer < aQueued;
   if (aAtLeast && *aAtLeast > kLongSilence && silent) {
     mConnected = false;
-    mFailed = true;
+    mFailedUntil = aNow + kFailedFor;
   }
   if (!aAtLeast || *aAtLeast - aUsualWork <= Excess(aNow)) {
     return std::nullopt;
@@ -115,7 +118,7 @@
   mLastAnswer = aNow;
   mLastHeard = std::max(mLastHeard, aNow);
   mConnected = true;
-  mFailed = false;
+  mFailedUntil = model::instant();
   mRefusals = 0;
   mRefusesUntil = model::instant();
   mPeerSuspectUntil = model::instant();
@@ -171,7 +174,7 @@
     kFirstRefusal * (1 << std::min(mRefusals, 4)), kLongestRefusal);
   ++mRefusals;
   mConnected = false;
-  mFailed = true;
+  mFailedUntil = aNow + kFailedFor;
   mRefusesUntil = aNow + pause;
 }
 
@@ -180,7 +183,7 @@
 {
   mLastHeard = std::max(mLastHeard, aNow);
   mConnected = true;
-  mFailed = false;
+  mFailedUntil = model::instant();
   // A connection that waited for a free slot tells no way; the shortest does.
   const auto known = mRoundTrip.count() == 0 ? aRoundTrip : mRoundTrip;
   mRoundTrip = std::max(std::min(known, aRoundTrip), kLeastRoundTrip);
@@ -220,7 +223,7 @@
 bool
 leaf_load::Lost(model::instant aNow) const
 {
-  return mFailed || mWayLost ||
+  return Failed(aNow) || mWayLost ||
          (mConnected && SeenStandingStill(kLongOverdue / kOverdueFactor, aNow));
 }
 
@@ -228,7 +231,7 @@
 leaf_load::SeenStandingStill(model::duration aUsualWork,
                              model::instant aNow) const
 {
-  return Refuses(aNow) || mFailed || OverdueSince(aUsualWork, aNow);
+  return Refuses(aNow) || Failed(aNow) || OverdueSince(aUsualWork, aNow);
 }
 
 std::optional<model::instant>
--- a/src/serving/leaf_load_base.h
+++ b/src/serving/leaf_load_base.h
@@ -97,6 +97,7 @@
   void Forget(model::instant aQueued);
   void Learn(model::duration aSample, int aDivisor, model::instant aNow);
   void LearnUseless(model::instant aNow);
+  bool Failed(model::instant aNow) const { return aNow < mFailedUntil; }
   double UselessShare(model::instant aNow) const;
 
   struct sent
@@ -121,7 +122,8 @@
   bool mElsewhere = false;
   bool mWayLost = false;
   bool mConnected = false; ///< Once, and it has not failed since.
-  bool mFailed = false;    ///< Without a sign of life since.
+  /** Taken for failed until then, without a sign of life. */
+  model::instant mFailedUntil;
 };
 
 /**
--- a/test/serving/fleet_orders_test.cpp
+++ b/test/serving/fleet_orders_test.cpp
@@ -177,8 +177,7 @@
       }
       here.mNextRound = mNow + kPeriod;
       const auto targets = here.mView->OnRound(mNow);
-      fleet_message message;
-      message.mMembers = here.mView->Told();
+      fleet_message message = here.mView->Told(mNow);
       message.mWantsReply = here.mView->Live(mNow).empty();
       for (const model::endpoint& target : targets) {
         Send(place, PlaceOf(target), EncodeMessage(message));
@@ -196,9 +195,7 @@
     }
     here.mView->OnMessage(*message, mNow);
     if (message->mWantsReply) {
-      fleet_message reply;
-      reply.mMembers = here.mView->Told();
-      Send(aFlying.mTo, aFlying.mFrom, EncodeMessage(reply));
+      Send(aFlying.mTo, aFlying.mFrom, EncodeMessage(here.mView->Told(mNow)));
     }
   }
 
--- a/test/serving/fleet_test.cpp
+++ b/test/serving/fleet_test.cpp
@@ -59,8 +59,9 @@
     }
     const auto targets = mViews[aFrom]->OnRound(mNow);
     const bool alone = mViews[aFrom]->Live(mNow).empty();
-    const std::string bytes =
-      EncodeMessage({ mViews[aFrom]->Told(), alone, {}, {}, {} });
+    fleet_message told = mViews[aFrom]->Told(mNow);
+    told.mWantsReply = alone;
+    const std::string bytes = EncodeMessage(told);
     EXPECT_LT(bytes.size(), 1'400U);
     for (const model::endpoint& target : targets) {
       ++mDatagrams;
@@ -69,8 +70,7 @@
         const auto message = *DecodeMessage(bytes);
         mViews[place]->OnMessage(message, mNow);
         if (message.mWantsReply) {
-          mViews[aFrom]->OnMessage({ mViews[place]->Told(), false, {}, {}, {} },
-                                   mNow);
+          mViews[aFrom]->OnMessage(mViews[place]->Told(mNow), mNow);
         }
       }
     }
@@ -95,6 +95,23 @@
   }
 }
 
+/** Who is taken for silent is not told of leaves that drain. */
+TEST(FleetView, NobodyAliveIsTakenForSilent)
+{
+  for (const int count : { 9, 84 }) {
+    world fleet(count);
+    fleet.Run(seconds(5));
+    std::size_t missed = 0;
+    for (int round = 0; round < 60; ++round) {
+      fleet.Run(milliseconds(250));
+      for (int place = 0; place < count; ++place) {
+        missed += count - 1 - fleet.View(place).Live(fleet.Now()).size();
+      }
+    }
+    EXPECT_EQ(missed, 0U) << count << " instances";
+  }
+}
+
 TEST(FleetView, TheCostOfARoundDoesNotGrowWithTheFleet)
 {
   world small(9);
