--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -104,12 +104,17 @@
       ops::log_level::Info,
       "peer_pull_failed",
       { { "peer", aFrom }, { "bytes", static_cast<long>(aBytes.size()) } });
-    mPull.mNext = now + mSettings.mRetryPause;
-    if (!mConfigCall.mBusy && now >= mConfigCall.mNext) {
+    mPull.mPause = std::clamp<model::duration>(
+      2 * mPull.mPause, mSettings.mRetryPause, mSettings.mLongestRetryPause);
+    mPull.mNext = now + mPull.mPause;
+    // Others have it soon; the store's answer has a price.
+    if (mPull.mPause >= mSettings.mLongestRetryPause && !mConfigCall.mBusy &&
+        now >= mConfigCall.mNext) {
       ReadConfig(false);
     }
     return;
   }
+  mPull.mPause = model::duration(0);
   Adopt({ snapshot->mConfigRevision, snapshot->mConfigText }, "peer");
   if (snapshot->mDirectory.mRevision > mDirectory.Revision()) {
     mDirectory.OnRead(snapshot->mDirectory, now);
--- a/src/gateway/peer_port.cpp
+++ b/src/gateway/peer_port.cpp
@@ -22,7 +22,11 @@
 
 /** A peer that takes longer gives nothing; another one is asked. */
 constexpr std::chrono::milliseconds kPullTimeout{ 700 };
-constexpr int kBacklog = 256; ///< A whole fleet asks the first that knows.
+constexpr int kBacklog = 256;
+/** Snapshots given at one time: a whole fleet asks the first that knows, and
+ * its callers share the link with them. Who is turned away asks again, one of
+ * those that know by then. */
+constexpr std::size_t kMostPushes = 4;
 constexpr std::size_t kMostDatagramBytes = 65'536;
 
 } // namespace
@@ -92,7 +96,13 @@
     : snapshot_transfer(aPort.mLoop, [this] { End(); })
     , mPort(aPort)
   {
+    ++mPort.mPushes;
   }
+  ~snapshot_push() override { --mPort.mPushes; }
+  snapshot_push(const snapshot_push&) = delete;
+  snapshot_push& operator=(const snapshot_push&) = delete;
+  snapshot_push(snapshot_push&&) = delete;
+  snapshot_push& operator=(snapshot_push&&) = delete;
 
   void Begin()
   {
@@ -213,8 +223,8 @@
 {
   auto stream =
     tcp_stream::Accept(mLoop, reinterpret_cast<uv_stream_t*>(mListener));
-  if (!stream) {
-    return;
+  if (!stream || mPushes >= kMostPushes) {
+    return; // The peer sees an empty snapshot.
   }
   auto push = std::make_shared<snapshot_push>(*this);
   stream->SetHandler(*push);
--- a/src/gateway/peer_port_base.h
+++ b/src/gateway/peer_port_base.h
@@ -62,6 +62,7 @@
   snapshot_source mSnapshot;
   uv_udp_t* mSocket;
   uv_tcp_t* mListener;
+  std::size_t mPushes = 0; ///< Snapshots being given.
   std::unordered_map<void*, std::shared_ptr<void>> mTransfers;
 };
 
--- a/src/serving/fleet_view.cpp
+++ b/src/serving/fleet_view.cpp
@@ -200,8 +200,18 @@
     if (!best || aMember.mConfigVersion != best->mConfigVersion) {
       return !best || aMember.mConfigVersion > best->mConfigVersion;
     }
-    return aMember.mDataCentre == mSelf.mDataCentre &&
-           best->mDataCentre != mSelf.mDataCentre;
+    const auto near = [&](const fleet_member& aOther) {
+      return aOther.mDataCentre == mSelf.mDataCentre;
+    };
+    if (near(aMember) != near(*best)) {
+      return near(aMember);
+    }
+    // Not the same one for all, nor for the next try.
+    const std::uint64_t salt = cluster::HashOf(mSelf.mName) + mSelf.mBeat;
+    const auto weight = [salt](const fleet_member& aOther) {
+      return cluster::RendezvousWeight(salt, cluster::HashOf(aOther.mName));
+    };
+    return weight(aMember) > weight(*best);
   };
   for (const fleet_member& member : Live(aNow)) {
     if (member.mConfigVersion > mSelf.mConfigVersion && better(member)) {
--- a/test/serving/fleet_test.cpp
+++ b/test/serving/fleet_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <memory>
 
 namespace monsooncroft::serving {
@@ -95,6 +96,25 @@
   }
 }
 
+/** A whole fleet asks at once when a configuration or many leaves change. */
+TEST(FleetView, ManyThatHaveTheNewestAreAskedInTurn)
+{
+  world fleet(84);
+  fleet.Run(seconds(5));
+  for (std::size_t holder = 0; holder < 42; ++holder) {
+    fleet.View(holder).SetConfigVersion(7);
+  }
+  fleet.Run(seconds(3));
+  std::map<std::string, int> asked;
+  for (std::size_t place = 42; place < 84; ++place) {
+    ++asked[fleet.View(place).NewerConfig(fleet.Now())->mName];
+  }
+  EXPECT_GE(asked.size(), 20U);
+  for (const auto& [name, count] : asked) {
+    EXPECT_LE(count, 6) << name;
+  }
+}
+
 /** Who is taken for silent is not told of leaves that drain. */
 TEST(FleetView, NobodyAliveIsTakenForSilent)
 {
--- a/test/serving/leaf_choice_test.cpp
+++ b/test/serving/leaf_choice_test.cpp
@@ -79,6 +79,17 @@
   EXPECT_GT(leaf.ExpectedLatency(kWork, now), milliseconds(60));
 }
 
+/** Where no connection is kept open, only a request can try it. */
+TEST(LeafLoad, AFailedLeafIsTriedAgainWithoutASuccess)
+{
+  leaf_load leaf;
+  leaf.OnConnected(milliseconds(1), kStart);
+  leaf.OnRefused(kStart);
+  EXPECT_TRUE(leaf.Lost(kStart + seconds(1)));
+  EXPECT_FALSE(leaf.Lost(kStart + seconds(3)));
+  EXPECT_LT(leaf.ExpectedLatency(kWork, kStart + seconds(3)), milliseconds(20));
+}
+
 TEST(LeafLoad, ARefusingLeafIsTriedEverLessOften)
 {
   leaf_load leaf;
