--- a/src/gateway/leaf_peer.cpp
+++ b/src/gateway/leaf_peer.cpp
@@ -22,7 +22,8 @@
  * less than what was known. */
 constexpr std::chrono::milliseconds kLeastTold{ 8 };
 /** A connection that is not kept open is left to other instances after such a
- * time without work. */
+ * time without work: about the time between two requests of an instance where
+ * instances outnumber connections. */
 constexpr std::chrono::milliseconds kSharedIdle{ 1'500 };
 
 } // namespace
