--- a/src/gateway/leaf_link.cpp
+++ b/src/gateway/leaf_link.cpp
@@ -67,7 +67,7 @@
     Close(attempt_end::NotSent, "connection refused");
     return;
   }
-  const auto roundTrip = std::max(mLoop.Arrived() - mSince, model::duration(0));
+  const auto roundTrip = now - mSince;
   mState = state::Idle;
   mSince = now;
   mConnected = now;
--- a/src/serving/leaf_load.cpp
+++ b/src/serving/leaf_load.cpp
@@ -126,9 +126,11 @@
     mUselessShare = UselessShare(aNow) * (1 - kUselessWeight);
     mUselessAt = aNow;
     // The first connections may have waited for slots; an answer's time bounds
-    // what the way alone can take.
+    // what the way alone can take. Not below the usual work: times of arrival
+    // are estimates, and the least of many is too low.
     const auto whole = *aWork + mRoundTrip;
-    mRoundTrip = std::max(std::min(mRoundTrip, whole), kLeastRoundTrip);
+    mRoundTrip =
+      std::min(mRoundTrip, std::max({ whole, aUsualWork, kLeastRoundTrip }));
     const auto excess = whole - mRoundTrip - aUsualWork;
     Learn(excess, kSampleDivisor, aNow);
     return excess;
