--- a/bench/gateway_slope.cpp
+++ b/bench/gateway_slope.cpp
@@ -7,6 +7,7 @@
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
 #include "test/gateway/fake_leaf.h"
+#include "test/gateway/fake_store.h"
 
 #include <CLI/CLI.hpp>
 
@@ -26,64 +27,19 @@
                                     "X-Not", "X-Sigs", "X-Missing" };
 constexpr std::uint16_t kPort = 23'300;
 
-/** Holds one configuration and one set of leaves. */
-class fixed_store : public gateway::control_store
-{
-public:
-  void ReadDirectory(bool /*aMayBeOld*/,
-                     callback<serving::directory_read> aDone) override
-  {
-    aDone(serving::directory_read{ 1, mLeaves });
-  }
-  void WatchDirectory(std::uint64_t /*aAfter*/,
-                      milliseconds /*aWait*/,
-                      callback<serving::directory_delta> /*aDone*/) override
-  {
-  }
-  void ReadConfig(bool /*aMayBeOld*/,
-                  callback<gateway::config_text> aDone) override
-  {
-    aDone(gateway::config_text{ 1, "" });
-  }
-  void WatchConfig(std::uint64_t /*aAfter*/,
-                   milliseconds /*aWait*/,
-                   callback<gateway::config_change> /*aDone*/) override
-  {
-  }
-  std::variant<serving::routing_config::content, std::string> DecodeConfig(
-    const std::string& /*aText*/) const override
-  {
-    return mContent;
-  }
-
-  std::vector<serving::leaf_entry> mLeaves;
-  serving::routing_config::content mContent;
-};
-
 void
-Describe(fixed_store& aStore,
+Describe(gateway::fake_store& aStore,
          const std::vector<std::unique_ptr<gateway::fake_leaf>>& aLeaves)
 {
-  serving::route route;
-  route.mName = "all";
-  route.mHost = "h";
-  route.mPrefix = "/";
-  route.mRepeatability = serving::repeatability::Idempotent;
-  route.mTimeout = milliseconds(1'000);
-  route.mTargetLatency = milliseconds(400);
-  route.mTopRecords = 20;
+  std::vector<std::string> shards;
   for (std::size_t place = 0; place < aLeaves.size(); ++place) {
-    serving::leaf_entry entry;
-    entry.mId = "i-" + std::to_string(place);
-    entry.mService = "s" + std::to_string(place);
-    entry.mAddress = aLeaves[place]->Address();
-    entry.mDataCentre = "dc";
-    entry.mSlots = 2;
-    entry.mRevision = 1;
-    aStore.mLeaves.push_back(entry);
-    aStore.mContent.mServices[entry.mService] = { 26 };
-    route.mShards.push_back(entry.mService);
+    shards.push_back("s" + std::to_string(place));
+    aStore.Register(
+      "i-" + std::to_string(place), shards.back(), aLeaves[place]->Address());
   }
+  serving::route route = gateway::FanOut("/", shards);
+  route.mTargetLatency = milliseconds(400);
+  route.mTopRecords = 20;
   aStore.mContent.mVersion = 1;
   aStore.mContent.mRoutes = { route };
 }
@@ -132,26 +88,26 @@
 int
 Measure(int aShards, int aRequests)
 {
+  const auto sink = std::make_shared<ops::bounded_sink>(
+    ::open("/dev/null", O_WRONLY), 1U << 20U);
+  const ops::log log("slope", ops::log_level::Info, sink);
   gateway::event_loop outside;
   std::vector<std::unique_ptr<gateway::fake_leaf>> leaves;
   const std::string body(400, 'r');
   leaves.reserve(static_cast<std::size_t>(aShards));
   for (int shard = 0; shard < aShards; ++shard) {
     leaves.push_back(std::make_unique<gateway::fake_leaf>(
-      outside, [&](auto& aLink, const auto& aRequest) {
+      outside, log, [&](auto& aLink, const auto& aRequest) {
         aLink.Write("HTTP/1.1 200 OK\r\nX-Id: " + *aRequest.Find("X-Id") +
                     "\r\nX-Sig: s\r\nContent-Length: 400\r\n\r\n" + body);
       }));
   }
-  fixed_store store;
+  gateway::fake_store store;
   Describe(store, leaves);
   std::atomic<bool> finished = false;
   double spent = 0;
   std::thread inside([&] {
     gateway::event_loop loop;
-    const auto sink = std::make_shared<ops::bounded_sink>(
-      ::open("/dev/null", O_WRONLY), 1U << 20U);
-    const ops::log log("slope", ops::log_level::Info, sink);
     ops::metrics metrics;
     gateway::instance_settings settings;
     settings.mName = "slope";
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -62,7 +62,8 @@
       [this](std::string_view aBytes, const model::endpoint& aFrom) {
         OnDatagram(aBytes, aFrom);
       },
-      [this] { return Snapshot(); })
+      [this] { return Snapshot(); },
+      aLog)
 {
 }
 
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -122,8 +122,8 @@
              MakeHooks(),
              aLog,
              aMetrics)
-  , mCallers(aLoop, mSettings.mCallers, mDesk)
-  , mReadiness(aLoop, mSettings.mReadiness, *this)
+  , mCallers(aLoop, mSettings.mCallers, mDesk, aLog)
+  , mReadiness(aLoop, mSettings.mReadiness, *this, aLog)
   , mTick(aLoop, [this] { OnTick(); })
   , mStarted(event_loop::Now())
   , mNextRound(mStarted)
--- a/src/gateway/http_server.cpp
+++ b/src/gateway/http_server.cpp
@@ -6,13 +6,10 @@
 
 #include "gateway/caller_connection_base.h"
 #include "gateway/event_loop_base.h"
-#include "gateway/gateway_error.h"
+#include "gateway/tcp_listener_base.h"
 #include "gateway/tcp_stream_base.h"
 #include "model/endpoint_type.h"
 
-#include <netinet/in.h>
-#include <uv.h>
-
 #include <algorithm>
 #include <vector>
 
@@ -27,64 +24,34 @@
 
 http_server::http_server(event_loop& aLoop,
                          const model::endpoint& aAddress,
-                         request_handler& aHandler)
+                         request_handler& aHandler,
+                         const ops::log& aLog)
   : mLoop(aLoop)
   , mHandler(aHandler)
-  , mListener(new uv_tcp_t())
+  , mListener(std::make_unique<tcp_listener>(
+      aLoop,
+      aAddress,
+      kBacklog,
+      [this](std::unique_ptr<tcp_stream> aStream) {
+        Accept(std::move(aStream));
+      },
+      aLog))
 {
-  uv_tcp_init(aLoop.Get(), mListener);
-  mListener->data = this;
-  sockaddr_in address{};
-  int error = uv_ip4_addr(aAddress.mAddress.c_str(), aAddress.mPort, &address);
-  if (error == 0) {
-    error =
-      uv_tcp_bind(mListener, reinterpret_cast<const sockaddr*>(&address), 0);
-  }
-  if (error == 0) {
-    error = uv_listen(reinterpret_cast<uv_stream_t*>(mListener),
-                      kBacklog,
-                      [](uv_stream_t* aListener, int aStatus) {
-                        auto* self = static_cast<http_server*>(aListener->data);
-                        if (self != nullptr && aStatus == 0) {
-                          self->Accept();
-                        }
-                      });
-  }
-  if (error != 0) {
-    StopAccepting();
-    throw gateway_error("cannot listen on " + aAddress.ToString() + ": " +
-                        uv_strerror(error));
-  }
 }
 
-http_server::~http_server()
-{
-  StopAccepting();
-}
+http_server::~http_server() = default;
 
 void
 http_server::StopAccepting()
 {
-  if (mListener != nullptr) {
-    mListener->data = nullptr;
-    uv_close(reinterpret_cast<uv_handle_t*>(mListener),
-             [](uv_handle_t* aHandle) {
-               delete reinterpret_cast<uv_tcp_t*>(aHandle);
-             });
-    mListener = nullptr;
-  }
+  mListener.reset();
 }
 
 void
-http_server::Accept()
+http_server::Accept(std::unique_ptr<tcp_stream> aStream)
 {
-  auto stream =
-    tcp_stream::Accept(mLoop, reinterpret_cast<uv_stream_t*>(mListener));
-  if (!stream) {
-    return;
-  }
   auto connection = std::make_unique<caller_connection>(
-    *this, std::move(stream), event_loop::Now());
+    *this, std::move(aStream), event_loop::Now());
   auto* key = connection.get();
   mConnections.emplace(key, std::move(connection));
 }
--- a/src/gateway/http_server_base.h
+++ b/src/gateway/http_server_base.h
@@ -14,17 +14,21 @@
 #include <string>
 #include <unordered_map>
 
-using uv_tcp_t = struct uv_tcp_s;
-
 namespace monsooncroft::model {
 struct endpoint;
 }
 
+namespace monsooncroft::ops {
+class log;
+}
+
 namespace monsooncroft::gateway {
 
 class caller_connection;
 class event_loop;
 class request_handler;
+class tcp_listener;
+class tcp_stream;
 
 /** Accepts callers and gives their requests, one a connection, to a handler. */
 class http_server
@@ -33,7 +37,8 @@
   /** @throws gateway_error if the address cannot be bound. */
   http_server(event_loop& aLoop,
               const model::endpoint& aAddress,
-              request_handler& aHandler);
+              request_handler& aHandler,
+              const ops::log& aLog);
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
@@ -59,13 +64,13 @@
   bool Has(caller_connection& aConnection) const;
 
 private:
-  void Accept();
+  void Accept(std::unique_ptr<tcp_stream> aStream);
 
   event_loop& mLoop;
   request_handler& mHandler;
   serving::caller_limits mLimits;
   bool mCloseAfterAnswer = false;
-  uv_tcp_t* mListener;
+  std::unique_ptr<tcp_listener> mListener; ///< Null once it has stopped.
   std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>>
     mConnections;
 };
--- a/src/gateway/peer_port.cpp
+++ b/src/gateway/peer_port.cpp
@@ -126,12 +126,20 @@
 peer_port::peer_port(event_loop& aLoop,
                      const model::endpoint& aAddress,
                      datagram_handler aOnDatagram,
-                     snapshot_source aSnapshot)
+                     snapshot_source aSnapshot,
+                     const ops::log& aLog)
   : mLoop(aLoop)
   , mOnDatagram(std::move(aOnDatagram))
   , mSnapshot(std::move(aSnapshot))
   , mSocket(new uv_udp_t())
-  , mListener(new uv_tcp_t())
+  , mListener(
+      aLoop,
+      aAddress,
+      kBacklog,
+      [this](std::unique_ptr<tcp_stream> aStream) {
+        Accept(std::move(aStream));
+      },
+      aLog)
 {
   uv_udp_init(aLoop.Get(), mSocket);
   mSocket->data = this;
@@ -165,44 +173,14 @@
         ->mOnDatagram({ aBuffer->base, static_cast<std::size_t>(aCount) },
                       { text.data(), ntohs(from.sin_port) });
     });
-  ListenForPulls(aAddress);
-}
-
-void
-peer_port::ListenForPulls(const model::endpoint& aAddress)
-{
-  uv_tcp_init(mLoop.Get(), mListener);
-  mListener->data = this;
-  sockaddr_in address{};
-  uv_ip4_addr(aAddress.mAddress.c_str(), aAddress.mPort, &address);
-  int error =
-    uv_tcp_bind(mListener, reinterpret_cast<const sockaddr*>(&address), 0);
-  if (error == 0) {
-    error = uv_listen(reinterpret_cast<uv_stream_t*>(mListener),
-                      kBacklog,
-                      [](uv_stream_t* aListener, int aStatus) {
-                        auto* self = static_cast<peer_port*>(aListener->data);
-                        if (self != nullptr && aStatus == 0) {
-                          self->Accept();
-                        }
-                      });
-  }
-  if (error != 0) {
-    throw gateway_error("cannot listen on " + aAddress.ToString() + ": " +
-                        uv_strerror(error));
-  }
 }
 
 peer_port::~peer_port()
 {
   mSocket->data = nullptr;
-  mListener->data = nullptr;
   uv_close(reinterpret_cast<uv_handle_t*>(mSocket), [](uv_handle_t* aHandle) {
     delete reinterpret_cast<uv_udp_t*>(aHandle);
   });
-  uv_close(reinterpret_cast<uv_handle_t*>(mListener), [](uv_handle_t* aHandle) {
-    delete reinterpret_cast<uv_tcp_t*>(aHandle);
-  });
 }
 
 void
@@ -219,16 +197,14 @@
 }
 
 void
-peer_port::Accept()
+peer_port::Accept(std::unique_ptr<tcp_stream> aStream)
 {
-  auto stream =
-    tcp_stream::Accept(mLoop, reinterpret_cast<uv_stream_t*>(mListener));
-  if (!stream || mPushes >= kMostPushes) {
+  if (mPushes >= kMostPushes) {
     return; // The peer sees an empty snapshot.
   }
   auto push = std::make_shared<snapshot_push>(*this);
-  stream->SetHandler(*push);
-  push->mStream = std::move(stream);
+  aStream->SetHandler(*push);
+  push->mStream = std::move(aStream);
   mTransfers.emplace(push.get(), push);
   push->Begin();
 }
--- a/src/gateway/peer_port_base.h
+++ b/src/gateway/peer_port_base.h
@@ -5,6 +5,7 @@
 #ifndef MONSOONCROFT_GATEWAY_PEER_PORT_BASE_H
 #define MONSOONCROFT_GATEWAY_PEER_PORT_BASE_H
 
+#include "gateway/tcp_listener_base.h"
 #include "model/endpoint_type.h"
 
 #include <functional>
@@ -14,13 +15,17 @@
 #include <unordered_map>
 
 using uv_udp_t = struct uv_udp_s;
-using uv_tcp_t = struct uv_tcp_s;
+
+namespace monsooncroft::ops {
+class log;
+}
 
 namespace monsooncroft::gateway {
 
 class event_loop;
 class snapshot_pull;
 class snapshot_push;
+class tcp_stream;
 
 /**
  * Datagrams, and a TCP listener of the same port that gives this instance's
@@ -39,7 +44,8 @@
   peer_port(event_loop& aLoop,
             const model::endpoint& aAddress,
             datagram_handler aOnDatagram,
-            snapshot_source aSnapshot);
+            snapshot_source aSnapshot,
+            const ops::log& aLog);
   ~peer_port();
   peer_port(const peer_port&) = delete;
   peer_port& operator=(const peer_port&) = delete;
@@ -54,14 +60,13 @@
   friend class snapshot_pull;
   friend class snapshot_push;
 
-  void ListenForPulls(const model::endpoint& aAddress);
-  void Accept();
+  void Accept(std::unique_ptr<tcp_stream> aStream);
 
   event_loop& mLoop;
   datagram_handler mOnDatagram;
   snapshot_source mSnapshot;
   uv_udp_t* mSocket;
-  uv_tcp_t* mListener;
+  tcp_listener mListener;
   std::size_t mPushes = 0; ///< Snapshots being given.
   std::unordered_map<void*, std::shared_ptr<void>> mTransfers;
 };
--- /dev/null
+++ b/src/gateway/tcp_listener_base.h
@@ -0,0 +1,64 @@
+/**
+ * @file tcp_listener_base.h
+ * A listening address.
+ */
+#ifndef MONSOONCROFT_GATEWAY_TCP_LISTENER_BASE_H
+#define MONSOONCROFT_GATEWAY_TCP_LISTENER_BASE_H
+
+#include <functional>
+#include <memory>
+
+using uv_tcp_t = struct uv_tcp_s;
+
+namespace monsooncroft::model {
+struct endpoint;
+}
+
+namespace monsooncroft::ops {
+class log;
+}
+
+namespace monsooncroft::gateway {
+
+class event_loop;
+class tcp_stream;
+
+/** Accepts connections until it is destroyed. */
+class tcp_listener
+{
+public:
+  using accepted = std::function<void(std::unique_ptr<tcp_stream>)>;
+
+  /**
+   * @param aBacklog Connections that may wait to be accepted.
+   * @param aLog Of connections that cannot be taken; the listener goes on.
+   * @throws gateway_error if the address cannot be bound.
+   */
+  tcp_listener(event_loop& aLoop,
+               const model::endpoint& aAddress,
+               int aBacklog,
+               accepted aOnAccepted,
+               const ops::log& aLog);
+  ~tcp_listener();
+  tcp_listener(const tcp_listener&) = delete;
+  tcp_listener& operator=(const tcp_listener&) = delete;
+  tcp_listener(tcp_listener&&) = delete;
+  tcp_listener& operator=(tcp_listener&&) = delete;
+
+  /** As bound: with the port that was free if none was asked for. */
+  model::endpoint Address() const;
+
+private:
+  void Accept(int aStatus);
+  void LogFailure(const char* aError) const;
+  void Close();
+
+  event_loop& mLoop;
+  accepted mOnAccepted;
+  const ops::log& mLog;
+  uv_tcp_t* mHandle;
+};
+
+} // namespace monsooncroft::gateway
+
+#endif
--- a/test/gateway/fake_leaf.h
+++ b/test/gateway/fake_leaf.h
@@ -5,14 +5,12 @@
 #ifndef MONSOONCROFT_TEST_GATEWAY_FAKE_LEAF_H
 #define MONSOONCROFT_TEST_GATEWAY_FAKE_LEAF_H
 
-#include "gateway/event_loop_base.h"
 #include "gateway/http_reader_base.h"
 #include "gateway/stream_handler_base.h"
+#include "gateway/tcp_listener_base.h"
 #include "gateway/tcp_stream_base.h"
 #include "model/endpoint_type.h"
 
-#include <uv.h>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -85,60 +83,35 @@
   };
   using on_request = std::function<void(link&, const http_message&)>;
 
-  fake_leaf(event_loop& aLoop, on_request aOnRequest)
+  fake_leaf(event_loop& aLoop, const ops::log& aLog, on_request aOnRequest)
     : mOnRequest(std::move(aOnRequest))
-    , mLoop(aLoop)
-    , mListener(new uv_tcp_t())
+    , mListener(std::make_unique<tcp_listener>(
+        aLoop,
+        model::endpoint{ "127.0.0.1", 0 },
+        kBacklog,
+        [this](std::unique_ptr<tcp_stream> aStream) {
+          mLinks.push_back(std::make_unique<link>(*this, std::move(aStream)));
+        },
+        aLog))
   {
-    uv_tcp_init(aLoop.Get(), mListener);
-    mListener->data = this;
-    sockaddr_in address{};
-    uv_ip4_addr("127.0.0.1", 0, &address);
-    uv_tcp_bind(mListener, reinterpret_cast<const sockaddr*>(&address), 0);
-    uv_listen(reinterpret_cast<uv_stream_t*>(mListener),
-              64,
-              [](uv_stream_t* aListener, int aStatus) {
-                auto* self = static_cast<fake_leaf*>(aListener->data);
-                if (aStatus == 0) {
-                  self->mLinks.push_back(std::make_unique<link>(
-                    *self, tcp_stream::Accept(self->mLoop, aListener)));
-                }
-              });
-  }
-  ~fake_leaf() { Stop(); }
-  /** Refuses connections from now on. */
-  void Stop()
-  {
-    if (mListener == nullptr) {
-      return;
-    }
-    uv_close(reinterpret_cast<uv_handle_t*>(mListener),
-             [](uv_handle_t* aHandle) {
-               delete reinterpret_cast<uv_tcp_t*>(aHandle);
-             });
-    mListener = nullptr;
   }
   fake_leaf(const fake_leaf&) = delete;
   fake_leaf& operator=(const fake_leaf&) = delete;
   fake_leaf(fake_leaf&&) = delete;
   fake_leaf& operator=(fake_leaf&&) = delete;
 
-  model::endpoint Address() const
-  {
-    sockaddr_in address{};
-    int length = sizeof(address);
-    uv_tcp_getsockname(
-      mListener, reinterpret_cast<sockaddr*>(&address), &length);
-    return { "127.0.0.1", ntohs(address.sin_port) };
-  }
+  /** Refuses connections from now on. */
+  void Stop() { mListener.reset(); }
+  model::endpoint Address() const { return mListener->Address(); }
 
   int mRequests = 0;
   on_request mOnRequest;
   std::vector<std::unique_ptr<link>> mLinks;
 
 private:
-  event_loop& mLoop;
-  uv_tcp_t* mListener;
+  static constexpr int kBacklog = 64;
+
+  std::unique_ptr<tcp_listener> mListener;
 };
 
 } // namespace monsooncroft::gateway
--- /dev/null
+++ b/test/gateway/fake_store.h
@@ -0,0 +1,110 @@
+/**
+ * @file fake_store.h
+ * A store in memory whose content and failures a test decides.
+ */
+#ifndef MONSOONCROFT_TEST_GATEWAY_FAKE_STORE_H
+#define MONSOONCROFT_TEST_GATEWAY_FAKE_STORE_H
+
+#include "gateway/control_store_base.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace monsooncroft::gateway {
+
+/** A store that holds what the test puts into it. */
+class fake_store : public control_store
+{
+public:
+  void ReadDirectory(bool /*aMayBeOld*/,
+                     callback<serving::directory_read> aDone) override
+  {
+    ++mCalls;
+    if (mDown) {
+      aDone(store_error::Unreachable);
+    } else {
+      aDone(serving::directory_read{ mRevision, mLeaves });
+    }
+  }
+  void WatchDirectory(std::uint64_t /*aAfter*/,
+                      std::chrono::milliseconds /*aWait*/,
+                      callback<serving::directory_delta> aDone) override
+  {
+    mWatch = std::move(aDone);
+  }
+  void ReadConfig(bool /*aMayBeOld*/, callback<config_text> aDone) override
+  {
+    ++mCalls;
+    if (mDown || mContent.mVersion == 0) {
+      aDone(mDown ? store_error::Unreachable : store_error::Absent);
+    } else {
+      aDone(config_text{ 1, std::to_string(mContent.mVersion) });
+    }
+  }
+  void WatchConfig(std::uint64_t /*aAfter*/,
+                   std::chrono::milliseconds /*aWait*/,
+                   callback<config_change> aDone) override
+  {
+    mConfigWatch = std::move(aDone);
+  }
+  std::variant<serving::routing_config::content, std::string> DecodeConfig(
+    const std::string& /*aText*/) const override
+  {
+    return mContent;
+  }
+  /** Puts a new version into force, as a watch brings it. */
+  void Push(serving::routing_config::content aContent)
+  {
+    mContent = std::move(aContent);
+    const auto watch = std::move(mConfigWatch);
+    mConfigWatch = nullptr;
+    watch(config_change{ ++mRevision, config_text{ mRevision, "text" } });
+  }
+
+  /** A leaf with two slots in the instances' data centre. */
+  void Register(const std::string& aId,
+                const std::string& aService,
+                const model::endpoint& aAddress)
+  {
+    serving::leaf_entry entry;
+    entry.mId = aId;
+    entry.mService = aService;
+    entry.mAddress = aAddress;
+    entry.mDataCentre = "dc";
+    entry.mSlots = 2;
+    entry.mRevision = mRevision;
+    entry.mBorn = 1;
+    mLeaves.push_back(entry);
+    mContent.mServices[aService] = { kMostConnections };
+  }
+
+  bool mDown = false;
+  int mCalls = 0;
+  std::uint64_t mRevision = 1;
+  std::vector<serving::leaf_entry> mLeaves;
+  serving::routing_config::content mContent;
+  callback<serving::directory_delta> mWatch;
+  callback<config_change> mConfigWatch;
+
+private:
+  static constexpr int kMostConnections = 20; ///< Of one leaf.
+};
+
+/** An idempotent route of host h to all of some shards. */
+inline serving::route
+FanOut(const std::string& aPrefix, const std::vector<std::string>& aShards)
+{
+  serving::route route;
+  route.mName = "all";
+  route.mHost = "h";
+  route.mPrefix = aPrefix;
+  route.mRepeatability = serving::repeatability::Idempotent;
+  route.mTimeout = std::chrono::milliseconds(1'000);
+  route.mShards = aShards;
+  return route;
+}
+
+} // namespace monsooncroft::gateway
+
+#endif
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -3,6 +3,7 @@
  * A whole entry instance over loopback, with leaves and a store that fail.
  */
 #include "fake_leaf.h"
+#include "fake_store.h"
 #include "gateway/entry_instance_base.h"
 #include "gateway/http_channel_base.h"
 #include "ops/log_base.h"
@@ -22,64 +23,6 @@
 const header_names kNames{ "X-Id",  "X-Left", "X-Sig",    "X-Expect",
                            "X-Not", "X-Sigs", "X-Missing" };
 
-/** A store that holds what the test puts into it. */
-class fake_store : public control_store
-{
-public:
-  void ReadDirectory(bool /*aMayBeOld*/,
-                     callback<serving::directory_read> aDone) override
-  {
-    ++mCalls;
-    if (mDown) {
-      aDone(store_error::Unreachable);
-    } else {
-      aDone(serving::directory_read{ mRevision, mLeaves });
-    }
-  }
-  void WatchDirectory(std::uint64_t /*aAfter*/,
-                      milliseconds /*aWait*/,
-                      callback<serving::directory_delta> aDone) override
-  {
-    mWatch = std::move(aDone);
-  }
-  void ReadConfig(bool /*aMayBeOld*/, callback<config_text> aDone) override
-  {
-    ++mCalls;
-    if (mDown || mContent.mVersion == 0) {
-      aDone(mDown ? store_error::Unreachable : store_error::Absent);
-    } else {
-      aDone(config_text{ 1, std::to_string(mContent.mVersion) });
-    }
-  }
-  void WatchConfig(std::uint64_t /*aAfter*/,
-                   milliseconds /*aWait*/,
-                   callback<config_change> aDone) override
-  {
-    mConfigWatch = std::move(aDone);
-  }
-  std::variant<serving::routing_config::content, std::string> DecodeConfig(
-    const std::string& /*aText*/) const override
-  {
-    return mContent;
-  }
-  /** Puts a new version into force, as a watch brings it. */
-  void Push(serving::routing_config::content aContent)
-  {
-    mContent = std::move(aContent);
-    const auto watch = std::move(mConfigWatch);
-    mConfigWatch = nullptr;
-    watch(config_change{ ++mRevision, config_text{ mRevision, "text" } });
-  }
-
-  bool mDown = false;
-  int mCalls = 0;
-  std::uint64_t mRevision = 1;
-  std::vector<serving::leaf_entry> mLeaves;
-  serving::routing_config::content mContent;
-  callback<serving::directory_delta> mWatch;
-  callback<config_change> mConfigWatch;
-};
-
 /** The loop, the store, leaves, one instance and a caller. */
 class instance_test : public testing::Test
 {
@@ -116,31 +59,16 @@
   {
     const std::string id = "leaf" + std::to_string(mLeaves.size());
     mLeaves.push_back(
-      std::make_unique<fake_leaf>(mLoop, std::move(aOnRequest)));
-    serving::leaf_entry entry;
-    entry.mId = id;
-    entry.mService = aService;
-    entry.mAddress = mLeaves.back()->Address();
-    entry.mDataCentre = "dc";
-    entry.mSlots = 2;
-    entry.mRevision = mStore.mRevision;
-    entry.mBorn = 1;
-    mStore.mLeaves.push_back(entry);
-    mStore.mContent.mServices[aService] = { 20 };
+      std::make_unique<fake_leaf>(mLoop, mLog, std::move(aOnRequest)));
+    mStore.Register(id, aService, mLeaves.back()->Address());
     return *mLeaves.back();
   }
 
   void AddFanOut(const std::vector<std::string>& aShards, double aLeastShare)
   {
-    serving::route route;
-    route.mName = "all";
-    route.mHost = "h";
-    route.mPrefix = "/all/";
-    route.mRepeatability = serving::repeatability::Idempotent;
-    route.mTimeout = milliseconds(1'000);
+    serving::route route = FanOut("/all/", aShards);
     route.mTargetLatency = milliseconds(200);
     route.mMaxAttempts = 2;
-    route.mShards = aShards;
     route.mTopRecords = 2;
     route.mLeastShare = aLeastShare;
     mStore.mContent.mRoutes.push_back(route);
