Time arithmetic, signs of life and members read in one place; states that cannot be are gone

No behaviour changed. Found on reading the whole change: - model/time_func.h: Scaled and Kept (half forgotten after a time) stood five and three times in serving and gateway. - leaf_load: an answer and a useless one share OnReply, a connection and a reply OnSignOfLife; an answer always has a time, so that is no option. - link_share.mMost was never 0 any more: the first choice among replicas in query_run repeated the second, and a bound guarded against it. - leaf_peer: three copies of the walk over links that may close meanwhile, two counts of those connecting. - leaf_table: one constant for the work of an unknown route (it stood in entry_instance, too); Servable copied the names of all shards at each tick. - fleet_view: ranks and newer configurations copied all members at each tick; the control plane asks for them only when it would act. One Tell, one Postpone; the round's period is the fleet's terms'. - declarations that nothing defined or called. Left as it is: the two watches of store_client (a common piece was longer than both).

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -105,9 +105,8 @@
 control_plane::TellDeath(const once::death_mark& aMark, model::instant aNow)
 {
   serving::fleet_message message;
-  message.mMembers = { mFleet.Self() };
   message.mDeaths = { aMark };
-  TellAll(message, aNow);
+  Tell(mFleet.Counted(aNow), std::move(message));
 }
 
 void
@@ -117,24 +116,22 @@
   model::instant aNow)
 {
   serving::fleet_message message;
-  message.mMembers = { mFleet.Self() };
   message.mObservations = std::move(aObservations);
   message.mLostWays = std::move(aLostWays);
-  const std::string bytes = serving::EncodeMessage(message);
-  for (const serving::fleet_member& member : mFleet.Live(aNow)) {
-    if (member.mDataCentre == mFleet.Self().mDataCentre) {
-      mPort.Send(member.mPeer, bytes);
-    }
-  }
+  auto neighbours = mFleet.Live(aNow);
+  std::erase_if(neighbours, [this](const serving::fleet_member& aMember) {
+    return aMember.mDataCentre != mFleet.Self().mDataCentre;
+  });
+  Tell(neighbours, std::move(message));
 }
 
 void
-control_plane::TellAll(const serving::fleet_message& aMessage,
-                       model::instant aNow)
+control_plane::Tell(const std::vector<serving::fleet_member>& aMembers,
+                    serving::fleet_message aMessage)
 {
+  aMessage.mMembers = { mFleet.Self() };
   const std::string bytes = serving::EncodeMessage(aMessage);
-  // Also to those that seem silent: a leaf's drain must reach all.
-  for (const serving::fleet_member& member : mFleet.Counted(aNow)) {
+  for (const serving::fleet_member& member : aMembers) {
     mPort.Send(member.mPeer, bytes);
   }
 }
@@ -205,9 +202,7 @@
   if (!aError) {
     return;
   }
-  aState.mPause = std::clamp<model::duration>(
-    2 * aState.mPause, mSettings.mRetryPause, mSettings.mLongestRetryPause);
-  aState.mNext = now + aState.mPause;
+  Postpone(aState, now);
   mMetrics.Count("store_failures", { { "call", aCall } });
   mFailures += answered ? 0 : 1;
   if (!answered && mFailures == kFailuresToYield) {
@@ -219,6 +214,14 @@
   }
 }
 
+void
+control_plane::Postpone(caller_state& aState, model::instant aNow) const
+{
+  aState.mPause = std::clamp<model::duration>(
+    2 * aState.mPause, mSettings.mRetryPause, mSettings.mLongestRetryPause);
+  aState.mNext = aNow + aState.mPause;
+}
+
 bool
 control_plane::DirectoryDue(model::instant aNow) const
 {
@@ -226,6 +229,9 @@
   if (!complete) {
     return true;
   }
+  if (aNow - *complete < mSettings.mDirectoryPeriod) {
+    return false; // Whatever the rank.
+  }
   const std::size_t rank =
     std::min(mFleet.Rank("directory", false, aNow), mSettings.mMostStaggers);
   const auto period = mSettings.mDirectoryPeriod +
@@ -293,9 +299,9 @@
 {
   ApplyLeaves();
   serving::fleet_message message;
-  message.mMembers = { mFleet.Self() };
   message.mDeltas = { aDelta };
-  TellAll(message, aNow);
+  // Also to those that seem silent: a leaf's drain must reach all.
+  Tell(mFleet.Counted(aNow), std::move(message));
 }
 
 void
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -69,14 +69,13 @@
     mFleet.SetSeeds(std::move(aSeeds));
   }
   const serving::fleet_view& Fleet() const { return mFleet; }
-  const serving::leaf_directory& Directory() const { return mDirectory; }
   const serving::routing_config_ptr& Config() const { return mConfig; }
   bool ConfigCertain(model::instant aNow) const;
-  /** Tells all peers at once that a leaf has died with a request. */
   /** Tells the instances of the own data centre, which use the same leaves. */
   void TellNeighbours(std::vector<serving::leaf_observation> aObservations,
                       std::vector<std::string> aLostWays,
                       model::instant aNow);
+  /** Tells all peers at once that a leaf has died with a request. */
   void TellDeath(const once::death_mark& aMark, model::instant aNow);
 
 private:
@@ -109,7 +108,10 @@
   void OnCallDone(caller_state& aState,
                   const char* aCall,
                   std::optional<store_error> aError);
-  void TellAll(const serving::fleet_message& aMessage, model::instant aNow);
+  void Tell(const std::vector<serving::fleet_member>& aMembers,
+            serving::fleet_message aMessage);
+  /** Waits longer after each failure in a row. */
+  void Postpone(caller_state& aState, model::instant aNow) const;
   serving::fleet_message Message(bool aWantsReply);
   std::string Snapshot() const;
 
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -16,9 +16,10 @@
 void
 control_plane::FollowConfig(model::instant aNow)
 {
-  if (const auto newer = mFleet.NewerConfig(aNow);
-      newer && !mPull.mBusy && aNow >= mPull.mNext) {
-    PullSnapshot(*newer);
+  if (!mPull.mBusy && aNow >= mPull.mNext) {
+    if (const auto newer = mFleet.NewerConfig(aNow)) {
+      PullSnapshot(*newer);
+    }
   }
   if (!mConfig) {
     if (!mConfigCall.mBusy && aNow >= mConfigCall.mNext) {
@@ -75,9 +76,7 @@
       const auto& change = std::get<config_change>(aResult);
       mWatchAfter = std::max(mWatchAfter, change.mRevision);
       if (change.mText && Adopt(*change.mText, "watch")) {
-        serving::fleet_message message;
-        message.mMembers = { mFleet.Self() };
-        TellAll(message, event_loop::Now());
+        Tell(mFleet.Counted(event_loop::Now()), {});
       }
     });
 }
@@ -104,9 +103,7 @@
       ops::log_level::Info,
       "peer_pull_failed",
       { { "peer", aFrom }, { "bytes", static_cast<long>(aBytes.size()) } });
-    mPull.mPause = std::clamp<model::duration>(
-      2 * mPull.mPause, mSettings.mRetryPause, mSettings.mLongestRetryPause);
-    mPull.mNext = now + mPull.mPause;
+    Postpone(mPull, now);
     // Others have it soon; the store's answer has a price.
     if (mPull.mPause >= mSettings.mLongestRetryPause && !mConfigCall.mBusy &&
         now >= mConfigCall.mNext) {
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -18,7 +18,7 @@
 
 /** Timeouts of connections and duties are looked at so often. */
 constexpr std::chrono::milliseconds kTick{ 50 };
-constexpr std::chrono::milliseconds kRound{ 250 }; ///< As fleet_terms.
+constexpr serving::fleet_terms kFleetTerms{};
 /** The clocks drift apart by more only if the machine stood still. */
 constexpr std::chrono::milliseconds kSuspensionGap{ 700 };
 /** Part of the routed services that must be in reach to take callers. */
@@ -27,8 +27,6 @@
 constexpr std::size_t kMostObserved = 48;
 /** Part of the demand that must be servable while a way is lost. */
 constexpr double kReadyDemand = 0.5;
-/** Work that a leaf is taken to need where no route is at hand. */
-constexpr std::chrono::milliseconds kAnyWork{ 30 };
 
 model::duration
 BootOffset(model::instant aNow)
@@ -60,7 +58,7 @@
   self.mIncarnation = WallMs();
   const std::uint64_t seed =
     cluster::HashOf(aSettings.mName) ^ self.mIncarnation;
-  return { std::move(self), aSettings.mSeeds, {}, seed };
+  return { std::move(self), aSettings.mSeeds, kFleetTerms, seed };
 }
 
 /** Requests go as usual until a leaf has died with one of their content. */
@@ -183,9 +181,7 @@
     mQuarantine.Merge(aMark, WallNow());
   };
   hooks.mDeaths = [this] { return mQuarantine.Export(WallNow()); };
-  hooks.mSuspects = [this] {
-    return mLeaves.Suspects(kAnyWork, event_loop::Now());
-  };
+  hooks.mSuspects = [this] { return mLeaves.Suspects(event_loop::Now()); };
   return hooks;
 }
 
@@ -204,7 +200,7 @@
       std::exchange(mObserved, {}), std::exchange(mLostWays, {}), now);
   }
   if (now >= mNextRound) {
-    mNextRound = now + kRound;
+    mNextRound = now + kFleetTerms.mPeriod;
     OnRound(now);
   }
   CheckReadiness(now);
--- a/src/gateway/leaf_link_base.h
+++ b/src/gateway/leaf_link_base.h
@@ -37,7 +37,6 @@
   bool Connecting() const { return mState == state::Connecting; }
   /** Free for a request now. */
   bool Usable(model::instant aNow) const;
-  bool Closed() const { return mState == state::Closed; }
   bool Busy() const { return mState == state::Busy; }
   /** Time without a request; none while it has one. */
   model::duration IdleFor(model::instant aNow) const
@@ -59,7 +58,6 @@
 
   void ReadOn(std::string_view aBytes);
   void OnMessage();
-  void Finish(attempt_result aResult);
   void NoteKeepAlive(const http_message& aAnswer);
 
   event_loop& mLoop;
--- a/src/gateway/leaf_peer.cpp
+++ b/src/gateway/leaf_peer.cpp
@@ -125,13 +125,8 @@
       TakeWaiting(*mLinks[place], aNow);
     }
   }
-  const auto connecting =
-    std::count_if(mLinks.begin(), mLinks.end(), [](const auto& aLink) {
-      return aLink->Connecting();
-    });
-  if (static_cast<std::size_t>(connecting) < mWaiting.size() &&
-      mLinks.size() < std::max<std::size_t>(1, mShare.mMost) && !mRetired &&
-      !mLoad.Refuses(aNow) && aNow >= mCappedUntil) {
+  if (Connecting() < mWaiting.size() && mLinks.size() < mShare.mMost &&
+      !mRetired && !mLoad.Refuses(aNow) && aNow >= mCappedUntil) {
     Open();
   }
 }
@@ -147,20 +142,23 @@
 void
 leaf_peer::Try()
 {
-  const bool tries =
-    std::any_of(mLinks.begin(), mLinks.end(), [](const auto& aLink) {
-      return aLink->Connecting();
-    });
-  if (!tries && !mRetired) {
+  if (Connecting() == 0 && !mRetired) {
     Open();
   }
 }
 
+std::size_t
+leaf_peer::Connecting() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mLinks.begin(), mLinks.end(), [](const auto& aLink) {
+      return aLink->Connecting();
+    }));
+}
+
 void
-leaf_peer::OnTick(bool aWarm, model::instant aNow)
+leaf_peer::ForEachLink(const std::function<void(leaf_link&)>& aDo)
 {
-  DropExpired(aNow);
-  Settle(mDeaths.OnTimer(aNow));
   std::vector<leaf_link*> links;
   links.reserve(mLinks.size());
   for (const auto& link : mLinks) {
@@ -168,9 +166,17 @@
   }
   for (leaf_link* link : links) {
     if (Has(*link)) {
-      link->OnTick(aNow);
+      aDo(*link);
     }
   }
+}
+
+void
+leaf_peer::OnTick(bool aWarm, model::instant aNow)
+{
+  DropExpired(aNow);
+  Settle(mDeaths.OnTimer(aNow));
+  ForEachLink([&](leaf_link& aLink) { aLink.OnTick(aNow); });
   if (mRetired) {
     Retire();
     return;
@@ -205,15 +211,11 @@
 void
 leaf_peer::CloseIdle(model::instant aNow)
 {
-  std::vector<leaf_link*> idle;
-  for (const auto& link : mLinks) {
-    if (link->IdleFor(aNow) > kSharedIdle) {
-      idle.push_back(link.get());
+  ForEachLink([&](leaf_link& aLink) {
+    if (aLink.IdleFor(aNow) > kSharedIdle) {
+      aLink.Close(attempt_end::NotSent, "idle");
     }
-  }
-  for (leaf_link* link : idle) {
-    link->Close(attempt_end::NotSent, "idle");
-  }
+  });
 }
 
 void
@@ -221,15 +223,11 @@
 {
   mRetired = true;
   FailWaiting("the leaf is gone");
-  std::vector<leaf_link*> links;
-  for (const auto& link : mLinks) {
-    links.push_back(link.get());
-  }
-  for (leaf_link* link : links) {
-    if (Has(*link) && !link->Busy()) {
-      link->Close(attempt_end::NotSent, "the leaf is gone");
+  ForEachLink([](leaf_link& aLink) {
+    if (!aLink.Busy()) {
+      aLink.Close(attempt_end::NotSent, "the leaf is gone");
     }
-  }
+  });
 }
 
 bool
@@ -296,10 +294,7 @@
                          const attempt_outcome& aOutcome)
 {
   const auto& [end, useful, at] = aOutcome;
-  std::optional<model::duration> work;
-  if (aAttempt.mSent) {
-    work = at - *aAttempt.mSent - mLoad.RoundTrip();
-  }
+  const auto work = at - *aAttempt.mSent - mLoad.RoundTrip();
   std::optional<model::duration> excess;
   const model::duration known = mLoad.Excess(at);
   if (end == attempt_end::Answered && useful) {
--- a/src/gateway/leaf_peer_base.h
+++ b/src/gateway/leaf_peer_base.h
@@ -12,6 +12,7 @@
 #include "serving/link_split_func.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -53,9 +54,7 @@
 
   const serving::leaf_entry& Entry() const { return mEntry; }
   void Update(const serving::leaf_entry& aEntry, model::instant aNow);
-  /** Most 0: a reserve that gets one connection if its replicas fail. */
   void SetShare(const serving::link_share& aShare) { mShare = aShare; }
-  const serving::link_share& Share() const { return mShare; }
   /** It may be given new work. */
   bool TakesWork(model::instant aNow) const
   {
@@ -64,7 +63,6 @@
   }
   serving::leaf_load& Load() { return mLoad; }
   const serving::leaf_load& Load() const { return mLoad; }
-  std::size_t Waiting() const { return mWaiting.size(); }
 
   /** Sends the attempt as soon as a connection is free, earliest due first. */
   void Submit(leaf_attempt_ptr aAttempt, model::instant aNow);
@@ -99,6 +97,9 @@
 
 private:
   void Open();
+  std::size_t Connecting() const; ///< Links that are not made yet.
+  /** Links that the function closes, or others by it, are passed over. */
+  void ForEachLink(const std::function<void(leaf_link&)>& aDo);
   void TakeWaiting(leaf_link& aLink, model::instant aNow);
   void DropExpired(model::instant aNow);
   void CloseIdle(model::instant aNow);
--- a/src/gateway/leaf_table.cpp
+++ b/src/gateway/leaf_table.cpp
@@ -16,10 +16,9 @@
 
 /** How long peers avoid a leaf on this instance's word; renewed each round. */
 constexpr std::uint32_t kSuspicionMs = 350;
-/** Work that a leaf of another data centre is taken to need at least before
- * its silence tells of the way: with the factor of an overdue answer, more
- * than a pause. */
-constexpr std::chrono::milliseconds kWorkThere{ 30 };
+/** Work that a leaf is taken to need where no route is at hand: with the factor
+ * of an overdue answer, more than a pause. */
+constexpr std::chrono::milliseconds kAnyWork{ 30 };
 /** Connections that rested equally long end at the same moment everywhere; all
  * instances open theirs again within this time. At a leaf with as many
  * connections as it accepts, that takes a small part of its work. */
@@ -150,7 +149,7 @@
   {
     model::instant mHeard;
     std::vector<model::instant> mOverdue;
-    leaf_list mLeaves;
+    std::vector<leaf_peer*> mLeaves;
   };
   std::map<std::string, signs> seen;
   for (const auto& [id, leaf] : mById) {
@@ -159,10 +158,10 @@
     }
     signs& there = seen[leaf->Entry().mDataCentre];
     there.mHeard = std::max(there.mHeard, leaf->Load().LastHeard());
-    if (const auto since = leaf->Load().OverdueSince(kWorkThere, aNow)) {
+    if (const auto since = leaf->Load().OverdueSince(kAnyWork, aNow)) {
       there.mOverdue.push_back(*since);
     }
-    there.mLeaves.push_back(leaf);
+    there.mLeaves.push_back(leaf.get());
   }
   std::erase_if(mWays,
                 [&](const auto& aWay) { return !seen.contains(aWay.first); });
@@ -173,7 +172,7 @@
     if (way.Lost() != before) {
       mObserver.OnWay(dataCentre, way.Lost(), there.mOverdue.size());
     }
-    for (const leaf_peer_ptr& leaf : there.mLeaves) {
+    for (leaf_peer* leaf : there.mLeaves) {
       leaf->Load().SetWayLost(way.Lost());
     }
     if (way.TakeTry(aNow)) {
@@ -198,11 +197,11 @@
 }
 
 std::vector<serving::leaf_suspicion>
-leaf_table::Suspects(model::duration aUsualWork, model::instant aNow) const
+leaf_table::Suspects(model::instant aNow) const
 {
   std::vector<serving::leaf_suspicion> suspects;
   for (const auto& [id, leaf] : mById) {
-    if (leaf->Load().SeenStandingStill(aUsualWork, aNow)) {
+    if (leaf->Load().SeenStandingStill(kAnyWork, aNow)) {
       suspects.push_back({ id, kSuspicionMs });
     }
   }
@@ -217,14 +216,16 @@
   double all = 0;
   double servable = 0;
   for (const serving::route& route : aConfig.Routes()) {
-    std::vector<std::string> services = route.mShards;
-    for (const serving::weighted_service& target : route.mTargets) {
-      services.push_back(target.mService);
-    }
+    const auto& targets = route.mTargets;
+    const bool served =
+      route.IsFanOut()
+        ? Reachable(route.mShards, aNow) >= route.mLeastShare
+        : std::all_of(targets.begin(), targets.end(), [&](const auto& aTarget) {
+            return Answers(aTarget.mService, aNow);
+          });
     const double demand = aDemand.Of(route.mName, aNow);
-    const double least = route.IsFanOut() ? route.mLeastShare : 1;
     all += demand;
-    servable += Reachable(services, aNow) >= least ? demand : 0;
+    servable += served ? demand : 0;
   }
   return all == 0 ? 1 : servable / all;
 }
@@ -238,13 +239,19 @@
   }
   const auto reached =
     std::count_if(aServices.begin(), aServices.end(), [&](const auto& aName) {
-      const leaf_list& leaves = Of(aName);
-      return std::any_of(
-        leaves.begin(), leaves.end(), [&](const leaf_peer_ptr& aLeaf) {
-          return aLeaf->TakesWork(aNow) && aLeaf->Load().Answers(aNow);
-        });
+      return Answers(aName, aNow);
     });
   return static_cast<double>(reached) / static_cast<double>(aServices.size());
 }
 
+bool
+leaf_table::Answers(const std::string& aService, model::instant aNow) const
+{
+  const leaf_list& leaves = Of(aService);
+  return std::any_of(
+    leaves.begin(), leaves.end(), [&](const leaf_peer_ptr& aLeaf) {
+      return aLeaf->TakesWork(aNow) && aLeaf->Load().Answers(aNow);
+    });
+}
+
 } // namespace monsooncroft::gateway
--- a/src/gateway/leaf_table_base.h
+++ b/src/gateway/leaf_table_base.h
@@ -47,8 +47,7 @@
   leaf_peer* Find(const std::string& aId);
   void OnTick(const serving::routing_config* aConfig, model::instant aNow);
   /** Leaves seen standing still or refusing, for the peers. */
-  std::vector<serving::leaf_suspicion> Suspects(model::duration aUsualWork,
-                                                model::instant aNow) const;
+  std::vector<serving::leaf_suspicion> Suspects(model::instant aNow) const;
   /** A neighbour cannot reach a data centre. @return Whether that is news. */
   bool OnWayToldLost(const std::string& aDataCentre);
   /** Another data centre cannot be reached. */
@@ -63,6 +62,7 @@
                   model::instant aNow) const;
 
 private:
+  bool Answers(const std::string& aService, model::instant aNow) const;
   void Remove(const std::string& aId);
   void WatchWays(model::instant aNow);
 
--- a/src/gateway/query_run.cpp
+++ b/src/gateway/query_run.cpp
@@ -7,23 +7,13 @@
 #include "gateway/event_loop_base.h"
 #include "gateway/leaf_table_base.h"
 #include "gateway/request_head_func.h"
+#include "model/time_func.h"
 #include "serving/omission_func.h"
 
 #include <algorithm>
 
 namespace monsooncroft::gateway {
 
-namespace {
-
-model::duration
-Scaled(model::duration aTime, double aFactor)
-{
-  return model::duration(static_cast<model::duration::rep>(
-    static_cast<double>(aTime.count()) * aFactor));
-}
-
-} // namespace
-
 query_run::query_run(const query_context& aContext,
                      exchange_ptr aExchange,
                      plan aPlan)
@@ -155,10 +145,7 @@
                      shard.mTried.end(),
                      aLeaf.Entry().mId) == shard.mTried.end();
   };
-  const bool found = admit([&](const leaf_peer& aLeaf) {
-    return aLeaf.Share().mMost > 0 && fresh(aLeaf);
-  });
-  if (!found && !admit(fresh) && !aFreshOnly) {
+  if (!admit(fresh) && !aFreshOnly) {
     admit([](const leaf_peer&) { return true; });
   }
   const std::size_t tie =
@@ -207,9 +194,10 @@
   if (aLeaf.Load().Suspect(mPlan.mLatency->Mean(), aNow)) {
     return settings.mLeastHedgeDelay;
   }
-  const auto usual = Scaled(mPlan.mLatency->High(), settings.mHedgeFactor);
+  const auto usual =
+    model::Scaled(mPlan.mLatency->High(), settings.mHedgeFactor);
   const auto most =
-    Scaled(mPlan.mRoute->mTargetLatency, settings.mHedgeAtLatest);
+    model::Scaled(mPlan.mRoute->mTargetLatency, settings.mHedgeAtLatest);
   return aLeaf.Load().RoundTrip() +
          std::max<model::duration>(std::min<model::duration>(usual, most),
                                    settings.mLeastHedgeDelay);
--- a/src/serving/answer_rule.cpp
+++ b/src/serving/answer_rule.cpp
@@ -4,6 +4,8 @@
  */
 #include "serving/answer_rule_func.h"
 
+#include "model/time_func.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -26,15 +28,11 @@
              model::duration aCallersWay,
              const answer_times& aTimes)
 {
-  const auto part = [&](double aPart) {
-    return model::duration(static_cast<model::duration::rep>(
-      aPart * static_cast<double>(aTarget.count())));
-  };
   if (aCallersWay.count() == 0) {
-    return part(aTimes.mAnswerAtUnknownWay);
+    return model::Scaled(aTarget, aTimes.mAnswerAtUnknownWay);
   }
-  const auto own =
-    std::min<model::duration>(part(aTimes.mAnswerAt), aTarget - aTimes.mMargin);
+  const auto own = std::min<model::duration>(
+    model::Scaled(aTarget, aTimes.mAnswerAt), aTarget - aTimes.mMargin);
   // A caller that is too far away cannot be answered in time; half of the time
   // is used all the same.
   return std::max(own - aCallersWay, aTarget / 2);
--- a/src/serving/fleet_view.cpp
+++ b/src/serving/fleet_view.cpp
@@ -85,10 +85,9 @@
     if (member.mName == mSelf.mName) {
       continue;
     }
-    const auto [place, fresh] =
-      mKnown.try_emplace(member.mName, Known(member, aNow));
-    if (!fresh && member.NewerThan(place->second.mMember)) {
-      place->second = Known(member, aNow);
+    const auto place = mKnown.find(member.mName);
+    if (place == mKnown.end() || member.NewerThan(place->second.mMember)) {
+      mKnown.insert_or_assign(member.mName, Known(member, aNow));
     }
   }
   std::unordered_map<std::uint32_t, std::uint64_t> beats;
@@ -138,11 +137,9 @@
 fleet_view::HeardWithin(model::duration aTime, model::instant aNow) const
 {
   std::vector<fleet_member> heard;
-  for (const auto& [name, known] : mKnown) {
-    if (aNow - known.mHeard <= aTime) {
-      heard.push_back(known.mMember);
-    }
-  }
+  ForHeard(aTime, aNow, [&](const fleet_member& aMember) {
+    heard.push_back(aMember);
+  });
   return heard;
 }
 
@@ -162,13 +159,10 @@
 fleet_view::CountedInstances(model::instant aNow) const
 {
   fleet_size size;
-  for (const auto& [name, known] : mKnown) {
-    if (aNow - known.mHeard <= mTerms.mCountedFor) {
-      ++size.mAll;
-      size.mOwnDataCentre +=
-        known.mMember.mDataCentre == mSelf.mDataCentre ? 1 : 0;
-    }
-  }
+  ForHeard(mTerms.mCountedFor, aNow, [&](const fleet_member& aMember) {
+    ++size.mAll;
+    size.mOwnDataCentre += aMember.mDataCentre == mSelf.mDataCentre ? 1 : 0;
+  });
   return size;
 }
 
@@ -183,22 +177,22 @@
   };
   const std::uint64_t own = weight(mSelf);
   std::size_t rank = 0;
-  for (const fleet_member& member : Live(aNow)) {
+  ForHeard(mTerms.mSilentAfter, aNow, [&](const fleet_member& aMember) {
     const bool counts =
-      member.mReachesStore && !member.mLeaving &&
-      (!aOwnDataCentre || member.mDataCentre == mSelf.mDataCentre);
-    rank += counts && weight(member) > own ? 1 : 0;
-  }
+      aMember.mReachesStore && !aMember.mLeaving &&
+      (!aOwnDataCentre || aMember.mDataCentre == mSelf.mDataCentre);
+    rank += counts && weight(aMember) > own ? 1 : 0;
+  });
   return rank;
 }
 
 std::optional<fleet_member>
 fleet_view::NewerConfig(model::instant aNow) const
 {
-  std::optional<fleet_member> best;
+  const fleet_member* best = nullptr;
   const auto better = [&](const fleet_member& aMember) {
-    if (!best || aMember.mConfigVersion != best->mConfigVersion) {
-      return !best || aMember.mConfigVersion > best->mConfigVersion;
+    if (best == nullptr || aMember.mConfigVersion != best->mConfigVersion) {
+      return best == nullptr || aMember.mConfigVersion > best->mConfigVersion;
     }
     const auto near = [&](const fleet_member& aOther) {
       return aOther.mDataCentre == mSelf.mDataCentre;
@@ -213,12 +207,12 @@
     };
     return weight(aMember) > weight(*best);
   };
-  for (const fleet_member& member : Live(aNow)) {
-    if (member.mConfigVersion > mSelf.mConfigVersion && better(member)) {
-      best = member;
+  ForHeard(mTerms.mSilentAfter, aNow, [&](const fleet_member& aMember) {
+    if (aMember.mConfigVersion > mSelf.mConfigVersion && better(aMember)) {
+      best = &aMember;
     }
-  }
-  return best;
+  });
+  return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
 } // namespace monsooncroft::serving
--- a/src/serving/fleet_view_base.h
+++ b/src/serving/fleet_view_base.h
@@ -87,6 +87,16 @@
     std::uint32_t mHash = 0; ///< As in fleet_beat.
   };
 
+  /** Calls a function with each member heard of within a time. */
+  template<class F>
+  void ForHeard(model::duration aTime, model::instant aNow, F aDo) const
+  {
+    for (const auto& [name, known] : mKnown) {
+      if (aNow - known.mHeard <= aTime) {
+        aDo(known.mMember);
+      }
+    }
+  }
   std::vector<fleet_member> HeardWithin(model::duration aTime,
                                         model::instant aNow) const;
   static known_member Known(const fleet_member& aMember, model::instant aNow);
--- a/src/serving/leaf_load.cpp
+++ b/src/serving/leaf_load.cpp
@@ -4,8 +4,9 @@
  */
 #include "serving/leaf_load_base.h"
 
+#include "model/time_func.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace monsooncroft::serving {
 
@@ -18,13 +19,13 @@
 constexpr double kUselessWeight = 1.0 / 3; ///< Of an answer in the mean.
 /** Without answers it is half forgotten after this: shorter than faults last,
  * so that a leaf that has recovered gets work again. */
-constexpr double kUselessForgetSeconds = 1.0;
+constexpr std::chrono::milliseconds kUselessHalfForgotten{ 1'000 };
 constexpr int kSampleDivisor = 4; ///< An answer's weight in the mean.
 /** Weight of a peer's answer that was faster than what is known. */
 constexpr int kContradictionDivisor = 2;
 /** An observed excess is half forgotten after such a time without answers,
  * so that a leaf that has recovered is tried again. */
-constexpr double kForgetSeconds = 0.5;
+constexpr std::chrono::milliseconds kHalfForgotten{ 500 };
 /** A cold leaf takes so many times as long; its registration tells how long. */
 constexpr double kColdFactor = 1.6;
 /** An answer is overdue after so many times the expected latency. */
@@ -108,41 +109,49 @@
   return *aAtLeast - aUsualWork;
 }
 
-std::optional<model::duration>
+model::duration
 leaf_load::OnAnswer(model::instant aQueued,
-                    std::optional<model::duration> aWork,
+                    model::duration aWork,
                     model::duration aUsualWork,
                     model::instant aNow)
+{
+  OnReply(aQueued, aNow);
+  mUselessShare = UselessShare(aNow) * (1 - kUselessWeight);
+  mUselessAt = aNow;
+  // The first connections may have waited for slots; an answer's time bounds
+  // what the way alone can take. Not below the usual work: times of arrival
+  // are estimates, and the least of many is too low.
+  const auto whole = aWork + mRoundTrip;
+  mRoundTrip =
+    std::min(mRoundTrip, std::max({ whole, aUsualWork, kLeastRoundTrip }));
+  const auto excess = whole - mRoundTrip - aUsualWork;
+  Learn(excess, kSampleDivisor, aNow);
+  return excess;
+}
+
+void
+leaf_load::OnReply(model::instant aQueued, model::instant aNow)
 {
   Forget(aQueued);
   mLastAnswer = aNow;
+  mPeerSuspectUntil = model::instant();
+  OnSignOfLife(aNow);
+}
+
+void
+leaf_load::OnSignOfLife(model::instant aNow)
+{
   mLastHeard = std::max(mLastHeard, aNow);
   mConnected = true;
   mFailedUntil = model::instant();
   mRefusals = 0;
   mRefusesUntil = model::instant();
-  mPeerSuspectUntil = model::instant();
-  if (aWork) {
-    mUselessShare = UselessShare(aNow) * (1 - kUselessWeight);
-    mUselessAt = aNow;
-    // The first connections may have waited for slots; an answer's time bounds
-    // what the way alone can take. Not below the usual work: times of arrival
-    // are estimates, and the least of many is too low.
-    const auto whole = *aWork + mRoundTrip;
-    mRoundTrip =
-      std::min(mRoundTrip, std::max({ whole, aUsualWork, kLeastRoundTrip }));
-    const auto excess = whole - mRoundTrip - aUsualWork;
-    Learn(excess, kSampleDivisor, aNow);
-    return excess;
-  }
-  return std::nullopt;
 }
 
 void
 leaf_load::OnUseless(model::instant aQueued, model::instant aNow)
 {
-  // It answers, at least.
-  static_cast<void>(OnAnswer(aQueued, std::nullopt, {}, aNow));
+  OnReply(aQueued, aNow);
   LearnUseless(aNow);
 }
 
@@ -157,16 +166,13 @@
 double
 leaf_load::UselessShare(model::instant aNow) const
 {
-  const double age = std::chrono::duration<double>(aNow - mUselessAt).count();
-  return mUselessShare * std::exp2(-std::max(0.0, age) / kUselessForgetSeconds);
+  return mUselessShare * model::Kept(aNow - mUselessAt, kUselessHalfForgotten);
 }
 
 model::duration
 leaf_load::CostOfFailures(model::instant aNow) const
 {
-  return model::duration(static_cast<model::duration::rep>(
-    UselessShare(aNow) *
-    static_cast<double>(model::duration(kUselessCost).count())));
+  return model::Scaled(kUselessCost, UselessShare(aNow));
 }
 
 void
@@ -183,14 +189,10 @@
 void
 leaf_load::OnConnected(model::duration aRoundTrip, model::instant aNow)
 {
-  mLastHeard = std::max(mLastHeard, aNow);
-  mConnected = true;
-  mFailedUntil = model::instant();
+  OnSignOfLife(aNow);
   // A connection that waited for a free slot tells no way; the shortest does.
   const auto known = mRoundTrip.count() == 0 ? aRoundTrip : mRoundTrip;
   mRoundTrip = std::max(std::min(known, aRoundTrip), kLeastRoundTrip);
-  mRefusals = 0;
-  mRefusesUntil = model::instant();
 }
 
 void
@@ -202,10 +204,7 @@
 model::duration
 leaf_load::Excess(model::instant aNow) const
 {
-  const double age = std::chrono::duration<double>(aNow - mExcessAt).count();
-  const double kept = std::exp2(-std::max(0.0, age) / kForgetSeconds);
-  return model::duration(static_cast<model::duration::rep>(
-    static_cast<double>(mExcess.count()) * kept));
+  return model::Scaled(mExcess, model::Kept(aNow - mExcessAt, kHalfForgotten));
 }
 
 bool
@@ -261,8 +260,7 @@
 {
   const double factor = (aNow < mColdUntil ? kColdFactor : 1) +
                         static_cast<double>(mOutstanding.size());
-  const auto work = model::duration(static_cast<model::duration::rep>(
-    static_cast<double>(aUsualWork.count()) * factor));
+  const auto work = model::Scaled(aUsualWork, factor);
   // A fast leaf's answers take less than the usual, but never no time.
   auto expected = mRoundTrip + std::max(work + Excess(aNow), work / 3);
   if (mElsewhere) {
--- a/src/serving/leaf_load_base.h
+++ b/src/serving/leaf_load_base.h
@@ -27,15 +27,14 @@
   void OnSent(model::instant aNow, model::duration aUsualWork = {});
   /**
    * @param aQueued When the attempt was handed to the leaf, as in OnSent.
-   * @param aWork Time at the leaf without the way; nothing if the answer tells
-   * no speed.
+   * @param aWork Time at the leaf without the way.
    * @param aUsualWork The route's mean.
    * @return What it took beyond the usual.
    */
-  std::optional<model::duration> OnAnswer(model::instant aQueued,
-                                          std::optional<model::duration> aWork,
-                                          model::duration aUsualWork,
-                                          model::instant aNow);
+  model::duration OnAnswer(model::instant aQueued,
+                           model::duration aWork,
+                           model::duration aUsualWork,
+                           model::instant aNow);
   /**
    * It ended without an answer.
    * @param aAtLeast Time that it had been at the leaf, which the answer would
@@ -71,7 +70,6 @@
                                              model::instant aNow) const;
   /** Last answer or connection; the clock's start if there was none. */
   model::instant LastHeard() const { return mLastHeard; }
-  std::size_t Outstanding() const { return mOutstanding.size(); }
   model::duration RoundTrip() const { return mRoundTrip; }
   /** Overdue answer, refused connections or a peer's word. */
   bool Suspect(model::duration aUsualWork, model::instant aNow) const;
@@ -95,6 +93,8 @@
 
 private:
   void Forget(model::instant aQueued);
+  void OnReply(model::instant aQueued, model::instant aNow);
+  void OnSignOfLife(model::instant aNow);
   void Learn(model::duration aSample, int aDivisor, model::instant aNow);
   void LearnUseless(model::instant aNow);
   bool Failed(model::instant aNow) const { return aNow < mFailedUntil; }
--- a/src/serving/link_split_func.h
+++ b/src/serving/link_split_func.h
@@ -25,7 +25,7 @@
 /** An instance's connections to one replica. */
 struct link_share
 {
-  std::size_t mMost = 0;  ///< 0: none but in need.
+  std::size_t mMost = 1;  ///< At one time.
   bool mKeptOpen = false; ///< One stands also without work.
 
   bool operator==(const link_share&) const = default;
@@ -34,12 +34,11 @@
 /**
  * Answers the load of more instances than a leaf accepts connections: where
  * each instance has a share of each replica, it takes that, up to a connection
- * a slot; where not, it takes as many replicas as all shares together allow,
- * those of its own data centre first and the rest by rendezvous, so that each
- * shard stays in reach of each instance and each replica has about as many
- * instances as any other. Only the first of these is kept open: a new
- * connection costs the leaf work, and where so many instances share it, most
- * would end unused.
+ * a slot, and keeps one open. Where not, it may open one to each replica while
+ * it has work there, and keeps only one of them open, by rendezvous among the
+ * replicas of its own data centre: each replica then has about as many kept
+ * connections as any other, and room for those whose own replica fails. Where
+ * a kept one each is more than the replicas accept, none is kept.
  * @param aSelf This instance's name.
  * @param aReplicas Replicas of one service.
  * @param aInstances That hold connections.
--- a/src/serving/omission.cpp
+++ b/src/serving/omission.cpp
@@ -4,6 +4,8 @@
  */
 #include "serving/omission_func.h"
 
+#include "model/time_func.h"
+
 #include <algorithm>
 
 namespace monsooncroft::serving {
@@ -13,8 +15,7 @@
                 model::duration aTime,
                 std::size_t aMost)
 {
-  const auto most = model::duration(static_cast<model::duration::rep>(
-    kLateFrom * static_cast<double>(aTime.count())));
+  const auto most = model::Scaled(aTime, kLateFrom);
   std::vector<std::size_t> late;
   for (std::size_t place = 0; place < aExpected.size(); ++place) {
     if (aExpected[place] > most) {
--- a/test/serving/shared_learning_test.cpp
+++ b/test/serving/shared_learning_test.cpp
@@ -90,8 +90,8 @@
     }
     const auto known = own[leaf].Excess(end);
     const auto excess = own[leaf].OnAnswer(now, work, kWork, end);
-    if (excess && (*excess > kWork || known - *excess > kWork)) {
-      news.push_back({ end, by, leaf, *excess });
+    if (excess > kWork || known - excess > kWork) {
+      news.push_back({ end, by, leaf, excess });
     }
   }
   return static_cast<double>(met) / kRequests;
