Missed changes of the registrations are logged with their length and end

An instance that misses a change said so nowhere: whether the datagram, the pull or the read took the time, and whether leaves were then kept although the store lacks them, had to be pieced together from leaf_gone lines.

directory_behind and directory_caught_up frame each gap (one pair a gap), with where the changes came from, how long it took and how many missing leaves were kept; peer_datagrams_unsent counts what the own socket drops.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -100,7 +100,7 @@
   const std::string bytes =
     serving::EncodeMessage(MakeMessage(mFleet.LiveMembers(aNow).empty()));
   for (const model::endpoint& target : targets) {
-    mPeerSocket.Send(target, bytes);
+    SendToPeer(target, bytes);
   }
 }
 
@@ -128,6 +128,15 @@
   SendToPeers(members, std::move(message));
 }
 
+void
+control_plane::SendToPeer(const model::endpoint& aPeer,
+                          const std::string& aBytes)
+{
+  if (!mPeerSocket.Send(aPeer, aBytes)) {
+    mMetrics.Count("peer_datagrams_unsent");
+  }
+}
+
 void
 control_plane::SendToPeers(const std::vector<serving::fleet_member>& aMembers,
                            serving::fleet_message aMessage)
@@ -135,7 +144,7 @@
   aMessage.mMembers = { mFleet.Self() };
   const std::string bytes = serving::EncodeMessage(aMessage);
   for (const serving::fleet_member& member : aMembers) {
-    mPeerSocket.Send(member.mPeerEndpoint, bytes);
+    SendToPeer(member.mPeerEndpoint, bytes);
   }
 }
 
@@ -175,12 +184,17 @@
   for (const serving::directory_delta& delta : message->mDirectoryDeltas) {
     const bool complete = mDirectory.OnDelta(delta, now);
     ApplyLeaves();
+    if (complete) {
+      OnDirectoryComplete("delta", now);
+    } else {
+      OnDirectoryBehind(message->mMembers.front().mName, delta.mRevision, now);
+    }
     if (!complete && !mPullCall.mBusy && now >= mPullCall.mNextCall) {
       PullSnapshot(message->mMembers.front());
     }
   }
   if (message->mWantsReply) {
-    mPeerSocket.Send(aFrom, serving::EncodeMessage(MakeMessage(false)));
+    SendToPeer(aFrom, serving::EncodeMessage(MakeMessage(false)));
   }
 }
 
@@ -287,6 +301,7 @@
   const model::instant now = event_loop::Now();
   const auto& read = std::get<serving::directory_snapshot>(aResult);
   if (const auto delta = mDirectory.OnSnapshot(read, now)) {
+    OnDirectoryComplete("store", now);
     SendDirectoryDelta(*delta, now);
     return;
   }
@@ -355,6 +370,40 @@
     mDirectory.OnWatch(std::get<serving::directory_delta>(aResult), now), now);
 }
 
+void
+control_plane::OnDirectoryBehind(const std::string& aPeer,
+                                 std::uint64_t aPeerRevision,
+                                 model::instant aNow)
+{
+  if (mDirectoryBehindSince || mDirectory.Revision() == 0) {
+    return;
+  }
+  mDirectoryBehindSince = aNow;
+  mMetrics.Count("directory_gaps");
+  mLog.Write(ops::log_level::Info,
+             "directory_behind",
+             { { "known", static_cast<long>(mDirectory.Revision()) },
+               { "peer", aPeer },
+               { "peer_revision", static_cast<long>(aPeerRevision) } });
+}
+
+void
+control_plane::OnDirectoryComplete(const char* aSource, model::instant aNow)
+{
+  if (!mDirectoryBehindSince) {
+    return;
+  }
+  mLog.Write(
+    ops::log_level::Info,
+    "directory_caught_up",
+    { { "source", std::string(aSource) },
+      { "ms",
+        static_cast<double>((aNow - *mDirectoryBehindSince).count()) / 1000.0 },
+      { "revision", static_cast<long>(mDirectory.Revision()) },
+      { "missing_kept", static_cast<long>(mDirectory.MissingCount()) } });
+  mDirectoryBehindSince.reset();
+}
+
 void
 control_plane::ApplyLeaves()
 {
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -111,9 +111,16 @@
   void OnSnapshot(const std::string& aBytes, const std::string& aFrom);
   void OnDatagram(std::string_view aBytes, const model::endpoint& aFrom);
   void ApplyLeaves();
+  /** Logs the first sign that changes of the registrations were missed, and the
+   * update that supplies them. */
+  void OnDirectoryBehind(const std::string& aPeer,
+                         std::uint64_t aPeerRevision,
+                         model::instant aNow);
+  void OnDirectoryComplete(const char* aSource, model::instant aNow);
   void OnCallDone(call_state& aState,
                   const char* aCall,
                   std::optional<store_error> aError);
+  void SendToPeer(const model::endpoint& aPeer, const std::string& aBytes);
   void SendToPeers(const std::vector<serving::fleet_member>& aMembers,
                    serving::fleet_message aMessage);
   /** Doubles the delay before the next call, up to a maximum. */
@@ -142,6 +149,8 @@
   /** By leaf id; sent in snapshots. */
   std::map<std::string, serving::leaf_registration> mRegistrations;
   call_state mDirectoryWatchCall;
+  /** Set while changes of the registrations are known to be missing. */
+  std::optional<model::instant> mDirectoryBehindSince;
   model::instant mFreshReadsUntil; ///< Reads must not be stale until then.
   peer_socket mPeerSocket;
 };
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -117,6 +117,7 @@
   AdoptConfig({ snapshot->mConfigRevision, snapshot->mConfigText }, "peer");
   if (snapshot->mDirectory.mRevision > mDirectory.Revision()) {
     mDirectory.OnSnapshot(snapshot->mDirectory, now);
+    OnDirectoryComplete("peer", now);
     ApplyLeaves();
   }
 }
--- a/src/gateway/peer_socket.cpp
+++ b/src/gateway/peer_socket.cpp
@@ -188,17 +188,18 @@
   });
 }
 
-void
+bool
 peer_socket::Send(const model::endpoint& aTo, std::string_view aBytes)
 {
   sockaddr_in address{};
   if (uv_ip4_addr(aTo.mAddress.c_str(), aTo.mPort, &address) != 0) {
-    return;
+    return false;
   }
   std::string bytes(aBytes);
   uv_buf_t buffer = uv_buf_init(bytes.data(), bytes.size());
-  uv_udp_try_send(
-    mSocket, &buffer, 1, reinterpret_cast<const sockaddr*>(&address));
+  return uv_udp_try_send(
+           mSocket, &buffer, 1, reinterpret_cast<const sockaddr*>(&address)) >=
+         0;
 }
 
 void
--- a/src/gateway/peer_socket_base.h
+++ b/src/gateway/peer_socket_base.h
@@ -52,8 +52,9 @@
   peer_socket(peer_socket&&) = delete;
   peer_socket& operator=(peer_socket&&) = delete;
 
-  /** Sends a datagram; drops it if it cannot be sent, as the network may. */
-  void Send(const model::endpoint& aTo, std::string_view aBytes);
+  /** Sends a datagram; drops it if it cannot be sent, as the network may.
+   * @return Whether it was handed to the network. */
+  bool Send(const model::endpoint& aTo, std::string_view aBytes);
   void PullSnapshot(const model::endpoint& aFrom, pull_handler aOnPulled);
 
 private:
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -67,6 +67,8 @@
     return mLastCompleteTime;
   }
   std::size_t Size() const { return mLeaves.size(); }
+  /** Leaves that are missing in the store but kept for now. */
+  std::size_t MissingCount() const { return mMissingRevisions.size(); }
 
 private:
   /**
