A member's heartbeat no longer hides a newer state of it

Cause: instances learn most heartbeats of a member without its state. A heartbeat that arrived first raised the known one, and the state that belonged to it, relayed a round later with a lower heartbeat, was refused as older: a new configuration version, a leaving instance or a lost store became known late, by a message of the member itself.

Change: a state carries the heartbeat of its last change, which alone decides whether it is newer; the last heartbeat decides on contact.

Test: FleetMembership.AHeartbeatDoesNotHideANewerState failed before (no member with the newer configuration).

--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -25,7 +25,9 @@
       aMember.mIncarnation,
       aMember.mHeartbeat,
       aMember.mConfigVersion,
-      (aMember.mReachesStore ? 1 : 0) | (aMember.mLeaving ? 2 : 0) });
+      (aMember.mReachesStore ? 1 : 0) | (aMember.mLeaving ? 2 : 0),
+      aMember.mDirectoryRevision,
+      aMember.mStateHeartbeat });
 }
 
 fleet_member
@@ -42,6 +44,11 @@
   const int flags = aArray.at(7).get<int>();
   member.mReachesStore = (flags & 1) != 0;
   member.mLeaving = (flags & 2) != 0;
+  // Instances of earlier versions do not send the following elements.
+  member.mDirectoryRevision =
+    aArray.size() > 8 ? aArray.at(8).get<std::uint64_t>() : 0;
+  member.mStateHeartbeat =
+    aArray.size() > 9 ? aArray.at(9).get<std::uint64_t>() : member.mHeartbeat;
   return member;
 }
 
--- a/src/serving/fleet_membership.cpp
+++ b/src/serving/fleet_membership.cpp
@@ -81,6 +81,26 @@
   return { aMember, aNow, static_cast<std::uint32_t>(hash) };
 }
 
+void
+fleet_membership::known_member::OnHeartbeat(std::uint64_t aHeartbeat,
+                                            model::instant aNow)
+{
+  if (aHeartbeat > mMember.mHeartbeat) {
+    mMember.mHeartbeat = aHeartbeat;
+    mLastContact = aNow;
+  }
+}
+
+void
+fleet_membership::known_member::OnState(const fleet_member& aState)
+{
+  if (aState.mStateHeartbeat > mMember.mStateHeartbeat) {
+    const std::uint64_t heartbeat = mMember.mHeartbeat;
+    mMember = aState;
+    mMember.mHeartbeat = heartbeat;
+  }
+}
+
 void
 fleet_membership::OnMessage(const fleet_message& aMessage, model::instant aNow)
 {
@@ -90,9 +110,12 @@
     }
     const auto found = mOtherMembers.find(member.mName);
     if (found == mOtherMembers.end() ||
-        member.IsNewerThan(found->second.mMember)) {
+        member.mIncarnation > found->second.mMember.mIncarnation) {
       mOtherMembers.insert_or_assign(member.mName,
                                      MakeKnownMember(member, aNow));
+    } else if (member.mIncarnation == found->second.mMember.mIncarnation) {
+      found->second.OnState(member);
+      found->second.OnHeartbeat(member.mHeartbeat, aNow);
     }
   }
   std::unordered_map<std::uint32_t, std::uint64_t> heartbeats;
@@ -101,9 +124,8 @@
   }
   for (auto& [name, known] : mOtherMembers) {
     const auto found = heartbeats.find(known.mMemberHash);
-    if (found != heartbeats.end() && found->second > known.mMember.mHeartbeat) {
-      known.mMember.mHeartbeat = found->second;
-      known.mLastContact = aNow;
+    if (found != heartbeats.end()) {
+      known.OnHeartbeat(found->second, aNow);
     }
   }
 }
@@ -136,9 +158,35 @@
 void
 fleet_membership::SetConfigVersion(std::uint64_t aVersion)
 {
-  mSelf.mConfigVersion = std::max(mSelf.mConfigVersion, aVersion);
-  // Members replace a known state only by one with a higher heartbeat.
-  ++mSelf.mHeartbeat;
+  if (aVersion > mSelf.mConfigVersion) {
+    mSelf.mConfigVersion = aVersion;
+    OnStateChanged();
+  }
+}
+
+void
+fleet_membership::SetDirectoryRevision(std::uint64_t aRevision)
+{
+  if (aRevision > mSelf.mDirectoryRevision) {
+    mSelf.mDirectoryRevision = aRevision;
+    OnStateChanged();
+  }
+}
+
+void
+fleet_membership::SetReachesStore(bool aReaches)
+{
+  if (aReaches != mSelf.mReachesStore) {
+    mSelf.mReachesStore = aReaches;
+    OnStateChanged();
+  }
+}
+
+void
+fleet_membership::SetLeaving()
+{
+  mSelf.mLeaving = true;
+  OnStateChanged();
 }
 
 std::vector<fleet_member>
@@ -164,6 +212,18 @@
   return MembersWithin(mSettings.mRetentionPeriod, aNow);
 }
 
+std::vector<fleet_member>
+fleet_membership::RandomPossiblyLiveMembers(std::size_t aMaxCount,
+                                            model::instant aNow)
+{
+  std::vector<fleet_member> members = PossiblyLiveMembers(aNow);
+  if (members.size() > aMaxCount) {
+    std::shuffle(members.begin(), members.end(), mRandom);
+    members.resize(aMaxCount);
+  }
+  return members;
+}
+
 fleet_size
 fleet_membership::FleetSize(model::instant aNow) const
 {
@@ -197,31 +257,45 @@
   return rank;
 }
 
+bool
+fleet_membership::IsPreferredSource(const fleet_member& aMember,
+                                    const fleet_member& aOther) const
+{
+  const bool ownDataCentre = aMember.mDataCentre == mSelf.mDataCentre;
+  if (ownDataCentre != (aOther.mDataCentre == mSelf.mDataCentre)) {
+    return ownDataCentre;
+  }
+  const std::uint64_t salt = cluster::HashOf(mSelf.mName) + mSelf.mHeartbeat;
+  return cluster::RendezvousWeight(salt, cluster::HashOf(aMember.mName)) >
+         cluster::RendezvousWeight(salt, cluster::HashOf(aOther.mName));
+}
+
 std::optional<fleet_member>
 fleet_membership::MemberWithNewerConfig(model::instant aNow) const
 {
   const fleet_member* best = nullptr;
-  const auto isBetter = [&](const fleet_member& aMember) {
-    if (best == nullptr || aMember.mConfigVersion != best->mConfigVersion) {
-      return best == nullptr || aMember.mConfigVersion > best->mConfigVersion;
-    }
-    const auto inOwnDataCentre = [&](const fleet_member& aOther) {
-      return aOther.mDataCentre == mSelf.mDataCentre;
-    };
-    if (inOwnDataCentre(aMember) != inOwnDataCentre(*best)) {
-      return inOwnDataCentre(aMember);
-    }
-    // The salt spreads the instances over the members that have the newest
-    // configuration, and changes for the next attempt.
-    const std::uint64_t salt = cluster::HashOf(mSelf.mName) + mSelf.mHeartbeat;
-    const auto weight = [salt](const fleet_member& aOther) {
-      return cluster::RendezvousWeight(salt, cluster::HashOf(aOther.mName));
-    };
-    return weight(aMember) > weight(*best);
-  };
   ForEachMemberWithin(
     mSettings.mFailureTimeout, aNow, [&](const fleet_member& aMember) {
-      if (aMember.mConfigVersion > mSelf.mConfigVersion && isBetter(aMember)) {
+      if (aMember.mConfigVersion <= mSelf.mConfigVersion) {
+        return;
+      }
+      const bool better = best == nullptr ||
+                          aMember.mConfigVersion > best->mConfigVersion ||
+                          (aMember.mConfigVersion == best->mConfigVersion &&
+                           IsPreferredSource(aMember, *best));
+      best = better ? &aMember : best;
+    });
+  return best == nullptr ? std::nullopt : std::optional(*best);
+}
+
+std::optional<fleet_member>
+fleet_membership::MemberWithNewerDirectory(model::instant aNow) const
+{
+  const fleet_member* best = nullptr;
+  ForEachMemberWithin(
+    mSettings.mFailureTimeout, aNow, [&](const fleet_member& aMember) {
+      if (aMember.mDirectoryRevision > mSelf.mDirectoryRevision &&
+          (best == nullptr || IsPreferredSource(aMember, *best))) {
         best = &aMember;
       }
     });
--- a/src/serving/fleet_membership_base.h
+++ b/src/serving/fleet_membership_base.h
@@ -60,9 +60,10 @@
   fleet_message BuildMessage(model::instant aNow);
 
   void SetConfigVersion(std::uint64_t aVersion);
-  void SetReachesStore(bool aReaches) { mSelf.mReachesStore = aReaches; }
+  void SetDirectoryRevision(std::uint64_t aRevision);
+  void SetReachesStore(bool aReaches);
   void SetSeeds(std::vector<model::endpoint> aSeeds);
-  void SetLeaving() { mSelf.mLeaving = true; }
+  void SetLeaving();
 
   const fleet_member& Self() const { return mSelf; }
   /** Members whose heartbeat grew within the failure timeout, without this
@@ -71,6 +72,10 @@
   /** Members whose heartbeat grew within the retention period, without this
    * instance. */
   std::vector<fleet_member> PossiblyLiveMembers(model::instant aNow) const;
+  /** A random selection of PossiblyLiveMembers().
+   * @param aMaxCount Members in it at most. */
+  std::vector<fleet_member> RandomPossiblyLiveMembers(std::size_t aMaxCount,
+                                                      model::instant aNow);
   /** Counts this instance and all possibly live members. */
   fleet_size FleetSize(model::instant aNow) const;
   /**
@@ -87,6 +92,11 @@
   /** A live member with the newest configuration, preferably of the own data
    * centre; nothing if none is newer than the own one. */
   std::optional<fleet_member> MemberWithNewerConfig(model::instant aNow) const;
+  /** A live member that knows newer leaf registrations, preferably of the own
+   * data centre; nothing if none does. It need not know the newest ones: the
+   * first instances that have them would be asked by all others. */
+  std::optional<fleet_member> MemberWithNewerDirectory(
+    model::instant aNow) const;
 
 private:
   struct known_member
@@ -94,6 +104,10 @@
     fleet_member mMember;
     model::instant mLastContact;   ///< Time of its last new heartbeat.
     std::uint32_t mMemberHash = 0; ///< As in member_heartbeat.
+
+    void OnHeartbeat(std::uint64_t aHeartbeat, model::instant aNow);
+    /** Takes a state of the same incarnation if it is newer. */
+    void OnState(const fleet_member& aState);
   };
 
   /** Calls a function with each member that had contact within aTime. */
@@ -110,6 +124,12 @@
   }
   std::vector<fleet_member> MembersWithin(model::duration aTime,
                                           model::instant aNow) const;
+  /** Whether to ask the first of two members that have the same data. Spreads
+   * the instances over the members, and changes for the next attempt. */
+  bool IsPreferredSource(const fleet_member& aMember,
+                         const fleet_member& aOther) const;
+  /** Lets the changed state replace the one that others know. */
+  void OnStateChanged() { mSelf.mStateHeartbeat = ++mSelf.mHeartbeat; }
   static known_member MakeKnownMember(const fleet_member& aMember,
                                       model::instant aNow);
 
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -16,8 +16,8 @@
 
 namespace monsooncroft::serving {
 
-/** State of one instance, as the instance itself reported it; a state with a
- * higher heartbeat replaces one with a lower. */
+/** State of one instance, as the instance itself reported it, with its last
+ * known heartbeat. */
 struct fleet_member
 {
   std::string mName;
@@ -25,18 +25,15 @@
   model::endpoint mPeerEndpoint;  ///< For UDP and TCP.
   std::uint64_t mIncarnation = 0; ///< Start time of the process, Unix ms.
   std::uint64_t mHeartbeat = 0;   ///< Counter; increases while it runs.
+  /** Heartbeat of the last change of the fields below. */
+  std::uint64_t mStateHeartbeat = 0;
   std::uint64_t mConfigVersion = 0;
+  /** Store revision up to which it knows the leaf registrations. */
+  std::uint64_t mDirectoryRevision = 0;
   bool mReachesStore = false; ///< Its last calls to the store succeeded.
   bool mLeaving = false;
 
   bool operator==(const fleet_member&) const = default;
-
-  bool IsNewerThan(const fleet_member& aOther) const
-  {
-    return mIncarnation != aOther.mIncarnation
-             ? mIncarnation > aOther.mIncarnation
-             : mHeartbeat > aOther.mHeartbeat;
-  }
 };
 
 /** Heartbeat of a member, for receivers that already know the member. */
--- a/test/serving/fleet_membership_test.cpp
+++ b/test/serving/fleet_membership_test.cpp
@@ -193,6 +193,39 @@
   EXPECT_EQ(first, 1);
 }
 
+/** Most instances learn a member's heartbeats from others, without its state.
+ * The state that arrives after such a heartbeat must still be accepted. */
+TEST(FleetMembership, AHeartbeatDoesNotHideANewerState)
+{
+  fleet_member self;
+  self.mName = "self";
+  fleet_membership membership(self, {}, {}, 1);
+  const model::instant now{ seconds(100) };
+  fleet_member other;
+  other.mName = "other";
+  other.mIncarnation = 1;
+  other.mHeartbeat = 10;
+  other.mStateHeartbeat = 10;
+  membership.OnMessage({ { other }, false, {}, {}, {} }, now);
+
+  fleet_membership relay(self, {}, { .mMembersPerMessage = 1 }, 1);
+  fleet_member later = other;
+  later.mHeartbeat = 20;
+  relay.OnMessage({ { later }, false, {}, {}, {} }, now);
+  const fleet_message heartbeats = relay.BuildMessage(now);
+  ASSERT_EQ(heartbeats.mHeartbeats.size(), 1U);
+  membership.OnMessage(heartbeats, now);
+
+  fleet_member changed = other;
+  changed.mHeartbeat = 15;
+  changed.mStateHeartbeat = 15;
+  changed.mConfigVersion = 7;
+  membership.OnMessage({ { changed }, false, {}, {}, {} }, now + seconds(1));
+  ASSERT_TRUE(membership.MemberWithNewerConfig(now + seconds(1)));
+  // The state is older than the last heartbeat, so it is no new contact.
+  EXPECT_TRUE(membership.LiveMembers(now + milliseconds(2'500)).empty());
+}
+
 TEST(FleetMembership, FindsAMemberWithANewerConfiguration)
 {
   simulated_fleet fleet(9);
@@ -206,12 +239,32 @@
   EXPECT_FALSE(fleet.Instance(8).MemberWithNewerConfig(fleet.Now()));
 }
 
+TEST(FleetMembership, PullsOfMissedChangesAreSpread)
+{
+  simulated_fleet fleet(30);
+  fleet.Run(seconds(2));
+  for (std::size_t index = 0; index < 10; ++index) {
+    fleet.Instance(index).SetDirectoryRevision(100 + index);
+  }
+  fleet.Run(seconds(1));
+  std::map<std::string, int> pulls;
+  for (std::size_t index = 10; index < 30; ++index) {
+    const auto source =
+      fleet.Instance(index).MemberWithNewerDirectory(fleet.Now());
+    ASSERT_TRUE(source);
+    ++pulls[source->mName];
+  }
+  EXPECT_GE(pulls.size(), 5U);
+  EXPECT_FALSE(fleet.Instance(9).MemberWithNewerDirectory(fleet.Now()));
+}
+
 TEST(FleetCodec, RoundTrips)
 {
   fleet_member member;
   member.mName = "a";
   member.mPeerEndpoint = { "10.0.0.1", 7 };
   member.mConfigVersion = 9;
+  member.mDirectoryRevision = 1'234'567;
   member.mReachesStore = true;
   leaf_registration leaf;
   leaf.mId = "l";
