Missed changes of the registrations are pulled from any peer that has them, and only those

Callers saw: requests sent to leaves that had left, and fan-outs that waited for them.

Class: one sender both of the news and of the repair, and a repair that costs more than the news. Ruled out: a silent watch or old reads (the reader had the change after 20 ms).

Change: members tell the revision of their registrations; who is behind for 150 ms pulls from any member that is ahead, its own data centre first, naming what it has, and gets the configuration only if newer and the changes since. A directory that began later says so, as it does not know what was removed before. A change is pushed to as many random members as 64 KB allow. Pulled changes are no sign that the store is up.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -23,6 +23,13 @@
 constexpr std::size_t kMaxCrashMarksPerMessage = 3;
 /** After a stale read, reads must be fresh for this long. */
 constexpr std::chrono::milliseconds kFreshReadPeriod{ 2'500 };
+/** Bytes of one change of the registrations that are sent to peers at once; a
+ * burst that fills this machine's link is dropped by the network. The other
+ * peers pull the change from those that have it. */
+constexpr std::size_t kMaxPushBytes = 65'536;
+/** Time for which an instance waits for changes on their way to it before it
+ * pulls them from a peer. */
+constexpr std::chrono::milliseconds kPullDelay{ 150 };
 
 } // namespace
 
@@ -64,7 +71,7 @@
       [this](std::string_view aBytes, const model::endpoint& aFrom) {
         OnDatagram(aBytes, aFrom);
       },
-      [this] { return MakeSnapshot(); },
+      [this](std::string_view aRequest) { return MakeSnapshot(aRequest); },
       aLog)
 {
 }
@@ -184,14 +191,9 @@
   for (const serving::directory_delta& delta : message->mDirectoryDeltas) {
     const bool complete = mDirectory.OnDelta(delta, now);
     ApplyLeaves();
-    if (complete) {
-      OnDirectoryComplete("delta", now);
-    } else {
+    if (!complete) {
       OnDirectoryBehind(message->mMembers.front().mName, delta.mRevision, now);
     }
-    if (!complete && !mPullCall.mBusy && now >= mPullCall.mNextCall) {
-      PullSnapshot(message->mMembers.front());
-    }
   }
   if (message->mWantsReply) {
     SendToPeer(aFrom, serving::EncodeMessage(MakeMessage(false)));
@@ -269,6 +271,22 @@
   if (const auto delta = mDirectory.RemoveMissing(aNow)) {
     SendDirectoryDelta(*delta, aNow);
   }
+  PullDirectory(aNow);
+}
+
+void
+control_plane::PullDirectory(model::instant aNow)
+{
+  const auto newer = mFleet.MemberWithNewerDirectory(aNow);
+  if (!newer) {
+    OnDirectoryComplete("delta", aNow);
+    return;
+  }
+  OnDirectoryBehind(newer->mName, newer->mDirectoryRevision, aNow);
+  if (mDirectoryBehindSince && aNow - *mDirectoryBehindSince >= kPullDelay &&
+      !mPullCall.mBusy && aNow >= mPullCall.mNextCall) {
+    PullSnapshot(*newer);
+  }
 }
 
 void
@@ -321,10 +339,15 @@
 {
   ApplyLeaves();
   serving::fleet_message message;
+  message.mMembers = { mFleet.Self() };
   message.mDirectoryDeltas = { aDelta };
+  const std::string bytes = serving::EncodeMessage(message);
   // Also sent to members that seem silent: a leaf's drain must reach all
   // instances.
-  SendToPeers(mFleet.PossiblyLiveMembers(aNow), std::move(message));
+  for (const serving::fleet_member& member :
+       mFleet.RandomPossiblyLiveMembers(kMaxPushBytes / bytes.size(), aNow)) {
+    SendToPeer(member.mPeerEndpoint, bytes);
+  }
 }
 
 void
@@ -375,7 +398,7 @@
                                  std::uint64_t aPeerRevision,
                                  model::instant aNow)
 {
-  if (mDirectoryBehindSince || mDirectory.Revision() == 0) {
+  if (mDirectoryBehindSince) {
     return;
   }
   mDirectoryBehindSince = aNow;
@@ -408,15 +431,14 @@
 control_plane::ApplyLeaves()
 {
   const auto changes = mDirectory.TakeChanges();
+  mFleet.SetDirectoryRevision(mDirectory.Revision());
   for (const std::string& id : changes.mRemovedIds) {
-    mRegistrations.erase(id);
     mLog.Write(ops::log_level::Info,
                "leaf_gone",
                { { "leaf", id },
                  { "revision", static_cast<long>(mDirectory.Revision()) } });
   }
   for (const serving::leaf_registration& entry : changes.mChangedLeaves) {
-    mRegistrations.insert_or_assign(entry.mId, entry);
     mLog.Write(ops::log_level::Info,
                "leaf_known",
                { { "leaf", entry.mId },
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -103,6 +103,9 @@
   void OnDirectoryChange(const store_result<serving::directory_delta>& aResult);
   void SendDirectoryDelta(const serving::directory_delta& aDelta,
                           model::instant aNow);
+  /** Pulls changes of the registrations that peers know and this instance has
+   * missed. */
+  void PullDirectory(model::instant aNow);
   void UpdateConfig(model::instant aNow);
   void ReadConfig(bool aMayBeStale);
   void WatchConfig();
@@ -126,7 +129,9 @@
   /** Doubles the delay before the next call, up to a maximum. */
   void ScheduleRetry(call_state& aState, model::instant aNow) const;
   serving::fleet_message MakeMessage(bool aWantsReply);
-  std::string MakeSnapshot() const;
+  /** Encodes what the requesting peer lacks; nothing if the request is not
+   * complete yet. */
+  std::optional<std::string> MakeSnapshot(std::string_view aRequest) const;
 
   event_loop& mLoop;
   control_store& mStore;
@@ -146,8 +151,6 @@
   /** Last response of the store to this instance or, as reported, to a peer. */
   std::optional<model::instant> mStoreLastContact;
   int mConsecutiveFailures = 0; ///< Consecutive failed calls to the store.
-  /** By leaf id; sent in snapshots. */
-  std::map<std::string, serving::leaf_registration> mRegistrations;
   call_state mDirectoryWatchCall;
   /** Set while changes of the registrations are known to be missing. */
   std::optional<model::instant> mDirectoryBehindSince;
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -88,7 +88,10 @@
   mPullCall.mBusy = true;
   mMetrics.Count("peer_pulls");
   mPeerSocket.PullSnapshot(
-    aFrom.mPeerEndpoint, [this, from = aFrom.mName](const std::string& aBytes) {
+    aFrom.mPeerEndpoint,
+    serving::EncodeSnapshotRequest(
+      { mConfig ? mConfig->Version() : 0, mDirectory.Revision() }),
+    [this, from = aFrom.mName](const std::string& aBytes) {
       mPullCall.mBusy = false;
       OnSnapshot(aBytes, from);
     });
@@ -108,17 +111,22 @@
     // The store is read only after several failed pulls: other peers have the
     // configuration soon, and a store read is expensive.
     if (mPullCall.mRetryDelay >= mSettings.mMaxRetryDelay &&
-        !mConfigCall.mBusy && now >= mConfigCall.mNextCall) {
+        mFleet.MemberWithNewerConfig(now) && !mConfigCall.mBusy &&
+        now >= mConfigCall.mNextCall) {
       ReadConfig(false);
     }
     return;
   }
   mPullCall.mRetryDelay = model::duration(0);
-  AdoptConfig({ snapshot->mConfigRevision, snapshot->mConfigText }, "peer");
-  if (snapshot->mDirectory.mRevision > mDirectory.Revision()) {
-    mDirectory.OnSnapshot(snapshot->mDirectory, now);
+  if (!snapshot->mConfigText.empty()) {
+    AdoptConfig({ snapshot->mConfigRevision, snapshot->mConfigText }, "peer");
+  }
+  const bool complete = mDirectory.OnPulledChanges(snapshot->mDirectory);
+  ApplyLeaves();
+  if (complete) {
     OnDirectoryComplete("peer", now);
-    ApplyLeaves();
+  } else {
+    ScheduleRetry(mPullCall, now); // That peer cannot close the gap.
   }
 }
 
@@ -152,17 +160,20 @@
   return true;
 }
 
-std::string
-control_plane::MakeSnapshot() const
+std::optional<std::string>
+control_plane::MakeSnapshot(std::string_view aRequest) const
 {
+  const auto request = serving::DecodeSnapshotRequest(aRequest);
+  if (!request) {
+    return std::nullopt;
+  }
   serving::fleet_snapshot snapshot;
   snapshot.mConfigVersion = mConfig ? mConfig->Version() : 0;
-  snapshot.mConfigRevision = mConfigText.mRevision;
-  snapshot.mConfigText = mConfigText.mText;
-  snapshot.mDirectory.mRevision = mDirectory.Revision();
-  for (const auto& [id, entry] : mRegistrations) {
-    snapshot.mDirectory.mLeaves.push_back(entry);
+  if (snapshot.mConfigVersion > request->mConfigVersion) {
+    snapshot.mConfigRevision = mConfigText.mRevision;
+    snapshot.mConfigText = mConfigText.mText;
   }
+  snapshot.mDirectory = mDirectory.ChangesSince(request->mDirectoryRevision);
   return serving::EncodeSnapshot(snapshot);
 }
 
--- a/src/gateway/peer_socket.cpp
+++ b/src/gateway/peer_socket.cpp
@@ -29,6 +29,7 @@
  * instance that has the configuration by then. */
 constexpr std::size_t kMaxPushes = 4;
 constexpr std::size_t kMaxDatagramBytes = 65'536;
+constexpr std::size_t kMaxRequestBytes = 64;
 
 } // namespace
 
@@ -51,9 +52,12 @@
 class snapshot_pull : public snapshot_transfer
 {
 public:
-  snapshot_pull(peer_socket& aPeerSocket, peer_socket::pull_handler aOnPulled)
+  snapshot_pull(peer_socket& aPeerSocket,
+                std::string aRequest,
+                peer_socket::pull_handler aOnPulled)
     : snapshot_transfer(aPeerSocket.mLoop, [this] { Finish({}); })
     , mPeerSocket(aPeerSocket)
+    , mRequest(std::move(aRequest))
     , mOnPulled(std::move(aOnPulled))
   {
   }
@@ -65,6 +69,7 @@
       return;
     }
     mStream->StartReading();
+    mStream->Write(std::move(mRequest));
   }
   void OnBytes(std::string_view aBytes) override { mBytes.append(aBytes); }
   void OnEnd(stream_end aEnd) override
@@ -87,11 +92,12 @@
   }
 
   peer_socket& mPeerSocket;
+  std::string mRequest;
   peer_socket::pull_handler mOnPulled;
   std::string mBytes;
 };
 
-/** Sends this instance's snapshot and closes. */
+/** Reads a peer's request, sends it the snapshot and closes. */
 class snapshot_push : public snapshot_transfer
 {
 public:
@@ -107,14 +113,21 @@
   snapshot_push(snapshot_push&&) = delete;
   snapshot_push& operator=(snapshot_push&&) = delete;
 
-  void Begin()
+  void OnConnected(bool /*aSuccess*/) override {}
+  void OnBytes(std::string_view aBytes) override
   {
-    mStream->StartReading();
-    mStream->Write(mPeerSocket.mSnapshot());
-    mStream->ShutDown();
+    if (mAnswered) {
+      return;
+    }
+    mRequest.append(aBytes);
+    if (const auto snapshot = mPeerSocket.mSnapshot(mRequest)) {
+      mAnswered = true;
+      mStream->Write(*snapshot);
+      mStream->ShutDown();
+    } else if (mRequest.size() > kMaxRequestBytes) {
+      End();
+    }
   }
-  void OnConnected(bool /*aSuccess*/) override {}
-  void OnBytes(std::string_view /*aBytes*/) override {}
   void OnEnd(stream_end /*aEnd*/) override { End(); }
 
 private:
@@ -126,6 +139,8 @@
   }
 
   peer_socket& mPeerSocket;
+  std::string mRequest;
+  bool mAnswered = false;
 };
 
 peer_socket::peer_socket(event_loop& aLoop,
@@ -212,13 +227,16 @@
   aStream->SetHandler(*push);
   push->mStream = std::move(aStream);
   mTransfers.emplace(push.get(), push);
-  push->Begin();
+  push->mStream->StartReading();
 }
 
 void
-peer_socket::PullSnapshot(const model::endpoint& aFrom, pull_handler aOnPulled)
+peer_socket::PullSnapshot(const model::endpoint& aFrom,
+                          std::string aRequest,
+                          pull_handler aOnPulled)
 {
-  auto pull = std::make_shared<snapshot_pull>(*this, std::move(aOnPulled));
+  auto pull = std::make_shared<snapshot_pull>(
+    *this, std::move(aRequest), std::move(aOnPulled));
   mTransfers.emplace(pull.get(), pull);
   pull->mStream = tcp_stream::Connect(mLoop, aFrom, *pull);
   if (!pull->mStream) {
--- a/src/gateway/peer_socket_base.h
+++ b/src/gateway/peer_socket_base.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -28,15 +29,18 @@
 class tcp_stream;
 
 /**
- * Sends and receives datagrams, and serves this instance's snapshot over TCP on
- * the same port: each connection gets one snapshot and is closed.
+ * Sends and receives datagrams, and serves snapshots over TCP on the same port:
+ * each connection sends one request, gets one snapshot and is closed.
  */
 class peer_socket
 {
 public:
   using datagram_handler =
     std::function<void(std::string_view, const model::endpoint&)>;
-  using snapshot_source = std::function<std::string()>;
+  /** Returns the snapshot for a peer's request; nothing if the request is not
+   * complete yet. */
+  using snapshot_source =
+    std::function<std::optional<std::string>(std::string_view)>;
   /** Called with the snapshot; empty if the peer sent none. */
   using pull_handler = std::function<void(std::string)>;
 
@@ -55,7 +59,9 @@
   /** Sends a datagram; drops it if it cannot be sent, as the network may.
    * @return Whether it was handed to the network. */
   bool Send(const model::endpoint& aTo, std::string_view aBytes);
-  void PullSnapshot(const model::endpoint& aFrom, pull_handler aOnPulled);
+  void PullSnapshot(const model::endpoint& aFrom,
+                    std::string aRequest,
+                    pull_handler aOnPulled);
 
 private:
   friend class snapshot_pull;
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -250,6 +250,28 @@
   }
 }
 
+std::string
+EncodeSnapshotRequest(const snapshot_request& aRequest)
+{
+  return Pack(json::array(
+    { kFormatVersion, aRequest.mConfigVersion, aRequest.mDirectoryRevision }));
+}
+
+std::optional<snapshot_request>
+DecodeSnapshotRequest(std::string_view aBytes)
+{
+  const auto value = Unpack(aBytes);
+  if (!value) {
+    return std::nullopt;
+  }
+  try {
+    return snapshot_request{ value->at(1).get<std::uint64_t>(),
+                             value->at(2).get<std::uint64_t>() };
+  } catch (const json::exception&) {
+    return std::nullopt; // The receiver reads on, up to its limit.
+  }
+}
+
 std::string
 EncodeSnapshot(const fleet_snapshot& aSnapshot)
 {
@@ -258,7 +280,9 @@
                             aSnapshot.mConfigRevision,
                             aSnapshot.mConfigText,
                             aSnapshot.mDirectory.mRevision,
-                            ToArrays(aSnapshot.mDirectory.mLeaves) }));
+                            ToArrays(aSnapshot.mDirectory.mChangedLeaves),
+                            aSnapshot.mDirectory.mBaseRevision,
+                            aSnapshot.mDirectory.mRemovedIds }));
 }
 
 std::optional<fleet_snapshot>
@@ -275,8 +299,11 @@
     snapshot.mConfigText = value->at(3).get<std::string>();
     snapshot.mDirectory.mRevision = value->at(4).get<std::uint64_t>();
     for (const json& leaf : value->at(5)) {
-      snapshot.mDirectory.mLeaves.push_back(ToLeaf(leaf));
+      snapshot.mDirectory.mChangedLeaves.push_back(ToLeaf(leaf));
     }
+    snapshot.mDirectory.mBaseRevision = value->at(6).get<std::uint64_t>();
+    snapshot.mDirectory.mRemovedIds =
+      value->at(7).get<std::vector<std::string>>();
     return snapshot;
   } catch (const json::exception&) {
     return std::nullopt; // The caller logs the failure with the sender.
--- a/src/serving/fleet_codec_func.h
+++ b/src/serving/fleet_codec_func.h
@@ -13,13 +13,24 @@
 
 namespace monsooncroft::serving {
 
-/** Configuration and directory, sent over TCP to a peer that lacks them. */
+/** What an instance that asks a peer for newer data already has. */
+struct snapshot_request
+{
+  std::uint64_t mConfigVersion = 0;     ///< 0: none.
+  std::uint64_t mDirectoryRevision = 0; ///< 0: no registration is known.
+
+  bool operator==(const snapshot_request&) const = default;
+};
+
+/** Newer configuration and changes of the directory, sent over TCP to a peer
+ * that lacks them. */
 struct fleet_snapshot
 {
   std::uint64_t mConfigVersion = 0;
   std::uint64_t mConfigRevision = 0; ///< Store revision at which it was read.
-  std::string mConfigText;           ///< Unparsed, as stored.
-  directory_snapshot mDirectory;
+  std::string mConfigText;           ///< Unparsed, as stored; empty if the
+                                     ///< peer has this version or a newer one.
+  directory_delta mDirectory;        ///< Changes since the peer's revision.
 };
 
 /** @return MessagePack array; the fields are identified by position. */
@@ -29,6 +40,12 @@
 std::optional<fleet_message>
 DecodeMessage(std::string_view aBytes);
 
+std::string
+EncodeSnapshotRequest(const snapshot_request& aRequest);
+/** @return Nothing if the bytes are not a complete request. */
+std::optional<snapshot_request>
+DecodeSnapshotRequest(std::string_view aBytes);
+
 std::string
 EncodeSnapshot(const fleet_snapshot& aSnapshot);
 /** @return Nothing if the bytes are not a complete snapshot. */
--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -29,13 +29,15 @@
     }
     mRemovedRevisions.erase(removed);
   }
-  const auto [place, inserted] = mLeaves.try_emplace(aLeaf.mId, aLeaf);
+  const auto [place, inserted] =
+    mLeaves.try_emplace(aLeaf.mId, known_leaf{ aLeaf, aSeenAt });
   if (!inserted) {
-    if (place->second.mRevision >= aLeaf.mRevision) {
+    const leaf_registration& known = place->second.mRegistration;
+    if (known.mRevision >= aLeaf.mRevision) {
       return false;
     }
-    const bool same = place->second.EqualsIgnoringHeartbeat(aLeaf);
-    place->second = aLeaf;
+    const bool same = known.EqualsIgnoringHeartbeat(aLeaf);
+    place->second = { aLeaf, aSeenAt };
     if (same) {
       // Peers still need the new revision: it shows that the leaf is alive.
       return true;
@@ -68,19 +70,22 @@
 leaf_directory::Remove(const std::string& aId, std::uint64_t aRevision)
 {
   const auto found = mLeaves.find(aId);
-  if (found == mLeaves.end() || found->second.mRevision > aRevision) {
+  if (found == mLeaves.end() ||
+      found->second.mRegistration.mRevision > aRevision) {
     return false;
   }
   mLeaves.erase(found);
   mPendingChanges.mRemovedIds.push_back(aId);
   mRemovedRevisions[aId] = aRevision;
   if (mRemovedRevisions.size() > kMaxRemovedIds) {
-    mRemovedRevisions.erase(
+    const auto oldest =
       std::min_element(mRemovedRevisions.begin(),
                        mRemovedRevisions.end(),
                        [](const auto& aLeft, const auto& aRight) {
                          return aLeft.second < aRight.second;
-                       }));
+                       });
+    mHistoryStart = std::max(mHistoryStart, oldest->second);
+    mRemovedRevisions.erase(oldest);
   }
   return true;
 }
@@ -93,7 +98,12 @@
     return std::nullopt;
   }
   const bool keepMissing = OnStoreRead(aNow);
-  directory_delta delta{ mRevision, aSnapshot.mRevision, {}, {} };
+  if (mRevision == 0) {
+    mHistoryStart = aSnapshot.mRevision;
+  }
+  directory_delta delta{
+    std::max(mRevision, mHistoryStart), aSnapshot.mRevision, {}, {}
+  };
   std::set<std::string> present;
   for (const leaf_registration& leaf : aSnapshot.mLeaves) {
     present.insert(leaf.mId);
@@ -159,8 +169,8 @@
   return delta;
 }
 
-bool
-leaf_directory::OnDelta(const directory_delta& aDelta, model::instant aNow)
+void
+leaf_directory::ApplyDelta(const directory_delta& aDelta)
 {
   for (const leaf_registration& leaf : aDelta.mChangedLeaves) {
     Put(leaf, aDelta.mRevision);
@@ -168,20 +178,63 @@
   for (const std::string& id : aDelta.mRemovedIds) {
     Remove(id, aDelta.mRevision);
   }
-  if (aDelta.mRevision >= mRevision) {
-    // A peer may be the first to reach the store after an outage.
-    OnStoreRead(aNow);
-  }
-  if (mRevision == 0 || aDelta.mBaseRevision > mRevision) {
+}
+
+bool
+leaf_directory::AdvanceTo(const directory_delta& aDelta)
+{
+  if (aDelta.mBaseRevision > mRevision) {
     return false;
   }
-  if (aDelta.mRevision >= mRevision) {
-    mRevision = aDelta.mRevision;
-    mLastCompleteTime = aNow;
+  if (mRevision == 0) {
+    mHistoryStart = aDelta.mRevision;
   }
+  mRevision = std::max(mRevision, aDelta.mRevision);
   return true;
 }
 
+bool
+leaf_directory::OnDelta(const directory_delta& aDelta, model::instant aNow)
+{
+  ApplyDelta(aDelta);
+  if (aDelta.mRevision < mRevision) {
+    return aDelta.mBaseRevision <= mRevision;
+  }
+  // A peer may be the first to reach the store after an outage.
+  OnStoreRead(aNow);
+  if (!AdvanceTo(aDelta)) {
+    return false;
+  }
+  mLastCompleteTime = aNow;
+  return true;
+}
+
+bool
+leaf_directory::OnPulledChanges(const directory_delta& aDelta)
+{
+  ApplyDelta(aDelta);
+  return AdvanceTo(aDelta);
+}
+
+directory_delta
+leaf_directory::ChangesSince(std::uint64_t aRevision) const
+{
+  directory_delta delta;
+  delta.mBaseRevision = aRevision == 0 ? 0 : std::max(aRevision, mHistoryStart);
+  delta.mRevision = mRevision;
+  for (const auto& [id, leaf] : mLeaves) {
+    if (leaf.mSeenAt > aRevision) {
+      delta.mChangedLeaves.push_back(leaf.mRegistration);
+    }
+  }
+  for (const auto& [id, revision] : mRemovedRevisions) {
+    if (revision > aRevision) {
+      delta.mRemovedIds.push_back(id);
+    }
+  }
+  return delta;
+}
+
 leaf_directory::changes
 leaf_directory::TakeChanges()
 {
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -41,9 +41,16 @@
    * the directory. */
   std::optional<directory_delta> OnSnapshot(const directory_snapshot& aSnapshot,
                                             model::instant aNow);
-  /** Merges a delta from a peer.
+  /** Merges a delta that a peer sent after it had read the store.
    * @return Whether all changes up to the delta's revision are known. */
   bool OnDelta(const directory_delta& aDelta, model::instant aNow);
+  /** Merges changes that a peer knew, of which the last may be old.
+   * @return Whether all changes up to the delta's revision are known. */
+  bool OnPulledChanges(const directory_delta& aDelta);
+  /** Changes for a peer that knows all changes up to aRevision; 0 if it knows
+   * none. Their base revision is above aRevision if this directory began later
+   * and does not know what was removed before. */
+  directory_delta ChangesSince(std::uint64_t aRevision) const;
   /** Merges changes from a watch on the store.
    * @return Changes to send to peers. */
   directory_delta OnWatch(const directory_delta& aChanges, model::instant aNow);
@@ -87,9 +94,22 @@
    * kept. */
   bool UpdateReregistrationPeriod(model::instant aNow);
   bool Remove(const std::string& aId, std::uint64_t aRevision);
+  /** Applies the content of a delta. */
+  void ApplyDelta(const directory_delta& aDelta);
+  /** Advances the revision after a delta was applied.
+   * @return Whether all changes up to the delta's revision are known. */
+  bool AdvanceTo(const directory_delta& aDelta);
+
+  struct known_leaf
+  {
+    leaf_registration mRegistration;
+    /** Store revision at which this directory saw the last change. Above that
+     * of the registration if it returned unchanged after an outage. */
+    std::uint64_t mSeenAt = 0;
+  };
 
   leaf_directory_settings mSettings;
-  std::map<std::string, leaf_registration> mLeaves; ///< By id.
+  std::map<std::string, known_leaf> mLeaves; ///< By id.
   /** Ids of removed leaves, with the store revision at which each was absent.
    */
   std::map<std::string, std::uint64_t> mRemovedRevisions;
@@ -97,6 +117,8 @@
    * store revision at which each was absent. */
   std::map<std::string, std::uint64_t> mMissingRevisions;
   std::uint64_t mRevision = 0;
+  /** Removals since this store revision are remembered. */
+  std::uint64_t mHistoryStart = 0;
   std::optional<model::instant> mLastCompleteTime;
   /** Last time at which this instance or, by its delta, a peer had read the
    * store; the directory may be incomplete then. */
--- /dev/null
+++ b/test/gateway/control_plane_test.cpp
@@ -0,0 +1,174 @@
+/**
+ * @file control_plane_test.cpp
+ * Control planes of a fleet over loopback, with stores set by the test.
+ */
+#include "fake_store.h"
+#include "gateway/control_plane_base.h"
+#include "gateway/event_loop_base.h"
+#include "gateway/loop_timer_base.h"
+#include "ops/bounded_sink_base.h"
+#include "ops/log_base.h"
+#include "ops/metrics_base.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <fcntl.h>
+#include <map>
+
+namespace monsooncroft::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kInstances = 24;
+constexpr std::uint16_t kFirstPort = 47'300;
+/** A draining leaf must get no more work after this time. */
+constexpr seconds kDrainBound{ 3 };
+
+/** Entry instances without callers and leaves: registrations only. */
+class control_plane_test : public testing::Test
+{
+protected:
+  control_plane_test()
+    : mSink(std::make_shared<ops::bounded_sink>(::open("/dev/null", O_WRONLY),
+                                                1U << 20U))
+    , mLog("test", ops::log_level::Info, mSink)
+    , mStores(kInstances)
+    , mLeaves(kInstances)
+  {
+    for (std::size_t index = 0; index < kInstances; ++index) {
+      mStores[index].mContent.mVersion = 1;
+      mPlanes.push_back(MakePlane(index));
+    }
+  }
+
+  std::unique_ptr<control_plane> MakePlane(std::size_t aIndex)
+  {
+    const auto peer = [](std::size_t aPeer) {
+      return model::endpoint{ "127.0.0.1",
+                              static_cast<std::uint16_t>(kFirstPort + aPeer) };
+    };
+    serving::fleet_member self;
+    self.mName = "i" + std::to_string(aIndex);
+    self.mDataCentre = "dc" + std::to_string(aIndex % 3);
+    self.mPeerEndpoint = peer(aIndex);
+    self.mIncarnation = 1;
+    control_plane::hooks hooks;
+    hooks.mOnConfig = [](const serving::routing_config_ptr&) {};
+    hooks.mOnLeaves =
+      [this, aIndex](const serving::leaf_directory::changes& aChanges) {
+        for (const auto& leaf : aChanges.mChangedLeaves) {
+          mLeaves[aIndex].insert_or_assign(leaf.mId, leaf);
+        }
+        for (const std::string& id : aChanges.mRemovedIds) {
+          mLeaves[aIndex].erase(id);
+        }
+      };
+    hooks.mSuspectedLeaves = [] {
+      return std::vector<serving::leaf_suspicion>{};
+    };
+    hooks.mCrashMarks = [] { return std::vector<once::crash_mark>{}; };
+    return std::make_unique<control_plane>(
+      mLoop,
+      mStores[aIndex],
+      serving::fleet_membership(self, { peer(0), peer(1) }, {}, aIndex),
+      control_settings{},
+      std::move(hooks),
+      mLog,
+      mMetrics);
+  }
+
+  /** Runs all instances until the condition holds or the time is over. */
+  template<class F>
+  void RunUntil(F aCondition, model::duration aAtMost)
+  {
+    const model::instant end = event_loop::Now() + aAtMost;
+    for (int tick = 0; event_loop::Now() < end && !aCondition(); ++tick) {
+      loop_timer timer(mLoop, [this] { mLoop.Stop(); });
+      timer.Start(milliseconds(50));
+      mLoop.Run();
+      for (const auto& plane : mPlanes) {
+        plane->OnTick(event_loop::Now());
+        if (tick % 5 == 0) {
+          plane->OnGossipRound(event_loop::Now());
+        }
+      }
+    }
+  }
+
+  /** Registers leaves in the store of all instances. */
+  void Register(std::size_t aCount)
+  {
+    for (fake_store& store : mStores) {
+      ++store.mRevision;
+      for (std::size_t leaf = 0; leaf < aCount; ++leaf) {
+        store.Register("leaf-" + std::to_string(leaf),
+                       "service-" + std::to_string(leaf),
+                       { "10.0.0.1", 80 });
+      }
+    }
+  }
+  void Drain()
+  {
+    for (fake_store& store : mStores) {
+      ++store.mRevision;
+      for (serving::leaf_registration& leaf : store.mLeaves) {
+        leaf.mDraining = true;
+        leaf.mRevision = store.mRevision;
+      }
+    }
+  }
+  bool AllKnow(std::size_t aCount, bool aDraining) const
+  {
+    return std::all_of(
+      mLeaves.begin(), mLeaves.end(), [&](const auto& aLeaves) {
+        return aLeaves.size() == aCount &&
+               std::all_of(
+                 aLeaves.begin(), aLeaves.end(), [&](const auto& aEntry) {
+                   return aEntry.second.mDraining == aDraining;
+                 });
+      });
+  }
+  /** Calls of all instances to their stores. */
+  int StoreCalls() const
+  {
+    int calls = 0;
+    for (const fake_store& store : mStores) {
+      calls += store.mCalls;
+    }
+    return calls;
+  }
+
+  event_loop mLoop;
+  std::shared_ptr<ops::bounded_sink> mSink;
+  ops::log mLog;
+  ops::metrics mMetrics;
+  std::vector<fake_store> mStores; ///< By instance, all of the same content.
+  /** Known registrations by instance and id. */
+  std::vector<std::map<std::string, serving::leaf_registration>> mLeaves;
+  std::vector<std::unique_ptr<control_plane>> mPlanes;
+};
+
+/** A change of very many registrations fits no datagram; if nobody pulled it,
+ * requests would reach leaves that have drained. */
+TEST_F(control_plane_test, AChangeTooLargeForADatagramReachesAllInstances)
+{
+  constexpr std::size_t kLeaves = 1'200;
+  Register(kLeaves);
+  RunUntil([&] { return AllKnow(kLeaves, false); }, seconds(10));
+  ASSERT_TRUE(AllKnow(kLeaves, false));
+  RunUntil([] { return false; }, seconds(2));
+  const int callsBefore = StoreCalls();
+  const model::instant drainedAt = event_loop::Now();
+  Drain();
+  RunUntil([&] { return AllKnow(kLeaves, true); }, 2 * kDrainBound);
+  EXPECT_TRUE(AllKnow(kLeaves, true));
+  EXPECT_LT(event_loop::Now() - drainedAt, kDrainBound);
+  // The reader of the moment reads once in 0.9 s; nobody else has to.
+  EXPECT_LE(StoreCalls() - callsBefore, 2 * kDrainBound.count());
+}
+
+} // namespace
+} // namespace monsooncroft::gateway
--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -147,6 +147,59 @@
   EXPECT_EQ(directory.Size(), 2U);
 }
 
+TEST(LeafDirectory, ChangesSinceARevisionIncludeRemovals)
+{
+  leaf_directory source;
+  source.OnSnapshot({ 10, { Leaf("a", 1), Leaf("b", 2) } }, kStart);
+  leaf_directory peer;
+  EXPECT_TRUE(peer.OnPulledChanges(source.ChangesSince(0)));
+  EXPECT_EQ(peer.Size(), 2U);
+  source.OnWatch({ 10, 12, { Leaf("c", 12) }, { "b" } }, kStart);
+  const auto delta = source.ChangesSince(peer.Revision());
+  EXPECT_EQ(delta, (directory_delta{ 10, 12, { Leaf("c", 12) }, { "b" } }));
+  EXPECT_TRUE(peer.OnPulledChanges(delta));
+  EXPECT_EQ(peer.Revision(), 12U);
+  EXPECT_EQ(peer.Size(), 2U);
+}
+
+/** A leaf may return with its old revision; peers still have to learn of it. */
+TEST(LeafDirectory, ChangesIncludeALeafThatReturnedUnchanged)
+{
+  leaf_directory source;
+  source.OnSnapshot({ 10, { Leaf("a", 1) } }, kStart);
+  source.OnSnapshot({ 11, {} }, kStart + seconds(1));
+  leaf_directory peer;
+  peer.OnPulledChanges(source.ChangesSince(0));
+  EXPECT_EQ(peer.Size(), 0U);
+  source.OnSnapshot({ 12, { Leaf("a", 1) } }, kStart + seconds(2));
+  EXPECT_TRUE(peer.OnPulledChanges(source.ChangesSince(11)));
+  EXPECT_EQ(peer.Size(), 1U);
+}
+
+/** An instance that has just started does not know which leaves were removed
+ * before, so its changes must not count as complete. */
+TEST(LeafDirectory, AYoungDirectoryDoesNotCloseAnOlderGap)
+{
+  leaf_directory peer;
+  peer.OnSnapshot({ 10, { Leaf("a", 1), Leaf("b", 2) } }, kStart);
+  leaf_directory young;
+  const auto first = young.OnSnapshot({ 20, { Leaf("a", 1) } }, kStart);
+  EXPECT_FALSE(peer.OnDelta(*first, kStart));
+  EXPECT_FALSE(peer.OnPulledChanges(young.ChangesSince(10)));
+  EXPECT_EQ(peer.Revision(), 10U);
+}
+
+/** What a peer knows is no sign that the store is up: the re-registration
+ * period would end before the leaves have registered again. */
+TEST(LeafDirectory, PulledChangesAreNoReadOfTheStore)
+{
+  leaf_directory directory;
+  directory.OnSnapshot({ 10, { Leaf("a", 1) } }, kStart);
+  directory.OnPulledChanges({ 10, 11, {}, {} });
+  directory.OnSnapshot({ 12, {} }, kStart + milliseconds(3'000));
+  EXPECT_EQ(directory.Size(), 1U);
+}
+
 TEST(LeafDirectory, HeartbeatsAreNotReportedAsChanges)
 {
   leaf_directory directory;
