Interim answers without end are cut off

A leaf in trouble may send bytes that are no answer without end. Noise, a field, fields, empty lines, a reason phrase, chunks, a chunk's extension, a trailer and a body that ends with its connection were bounded already; interim answers (1xx) were skipped, however many came, until the request's deadline, and kept the loop busy.

Change: after 16 interim answers to one request its connection is closed.

Test: instance_test.AnswersWithoutEndAreCutOff plays all ten; interim answers failed before.

--- a/src/gateway/leaf_connection.cpp
+++ b/src/gateway/leaf_connection.cpp
@@ -31,6 +31,8 @@
 constexpr int kFirstServerErrorStatus = 500;
 /** Answers to other requests that are skipped before a connection is closed. */
 constexpr int kMaxSkippedAnswers = 4;
+/** Interim answers (1xx) that are skipped before a connection is closed. */
+constexpr int kMaxInterimAnswers = 16;
 /** Largest accepted answer body; above the largest that leaves send. */
 constexpr std::size_t kMaxAnswerBodyBytes = 4U << 20U;
 constexpr std::size_t kMaxAnswerHeadBytes = 65'536;
@@ -93,6 +95,7 @@
   mState = state::Busy;
   mStateSince = aNow;
   mSkippedAnswers = 0;
+  mInterimAnswers = 0;
   mReader.ExpectNoBody(aAttempt->mRequest->mNoBodyExpected);
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
     aAttempt->mDeadline - aNow);
@@ -151,6 +154,9 @@
   http_message answer = std::move(mReader.Message());
   mReader.NextMessage();
   if (answer.mStatus / 100 == 1) {
+    if (++mInterimAnswers > kMaxInterimAnswers) {
+      Close(attempt_end::OutcomeUnknown, "interim answers without end");
+    }
     return;
   }
   const std::string* id = answer.Find(mHeaderNames.mRequestId);
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -315,6 +315,77 @@
   }
 }
 
+/** A leaf in trouble sends bytes without end: in a field, in a chunked body, in
+ * a body that ends with its connection, as interim answers. The instance must
+ * end the connection after a bounded number of bytes, long before the deadline.
+ */
+TEST_F(instance_test, AnswersWithoutEndAreCutOff)
+{
+  constexpr std::size_t kMaxAccepted = 8U << 20U; ///< With buffers in between.
+  const std::string filler(16'384, 'x');
+  std::string interim;
+  for (int count = 0; count < 600; ++count) {
+    interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  const std::string ok = "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Sig: s\r\n";
+  struct endless_answer
+  {
+    const char* mName;
+    std::string mStart;
+    std::string mRepeated;
+  };
+  const std::vector<endless_answer> answers{
+    { "noise", "", filler },
+    { "field", "HTTP/1.1 200 OK\r\nX-Sig: ", filler },
+    { "fields", "HTTP/1.1 200 OK\r\n", "X-More: " + filler + "\r\n" },
+    { "empty lines", "", std::string(16'384, '\n') },
+    { "reason", "HTTP/1.1 200 ", filler },
+    { "chunks",
+      ok + "Transfer-Encoding: chunked\r\n\r\n",
+      "4000\r\n" + filler + "\r\n" },
+    { "chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n1;", filler },
+    { "trailer",
+      ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+      "X-More: " + filler + "\r\n" },
+    { "body", ok + "\r\n", filler },
+    { "interim answers", "", interim },
+  };
+  std::vector<fake_leaf::connection*> open;
+  AddLeaf("plain", [&](auto& aConnection, const auto& /*aRequest*/) {
+    open.push_back(&aConnection);
+  });
+  AddSingleServiceRoute(serving::repeatability::RunOnce);
+  Start();
+  for (const endless_answer& answer : answers) {
+    open.clear();
+    http_channel caller(mLoop, mSettings.mCallerAddress);
+    std::optional<http_message> reply;
+    caller.Call(
+      "GET /one/x HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nX-Left: "
+      "20000\r\n\r\n",
+      seconds(20),
+      [&](std::optional<http_message> aReply) { reply = std::move(aReply); });
+    for (int round = 0; round < 100 && open.empty(); ++round) {
+      RunFor(milliseconds(10));
+    }
+    ASSERT_FALSE(open.empty()) << answer.mName;
+    fake_leaf::connection& leaf = *open.front();
+    leaf.Write(answer.mStart);
+    std::size_t sent = 0;
+    while (!leaf.Ended() && sent < kMaxAccepted) {
+      leaf.Write(answer.mRepeated);
+      sent += answer.mRepeated.size();
+      RunFor(model::duration(100));
+    }
+    EXPECT_TRUE(leaf.Ended()) << answer.mName;
+    leaf.Close();
+    RunFor(milliseconds(20));
+    ASSERT_TRUE(reply) << answer.mName;
+    EXPECT_EQ(reply->mStatus, 502) << answer.mName;
+    RunFor(milliseconds(500)); // For the next connection to the leaf.
+  }
+}
+
 /** The connections of a restarted leaf were destroyed while their streams still
  * had pending events, which crashed the instance (exit code 139). */
 TEST_F(instance_test, LeafRestartsWhileItAnswers)
