Requests that wait for a connection do not go to a leaf that drains

Cause: a drain mark kept new requests from a leaf, but those that already waited for one of its connections were sent to it when one became free, up to their deadline: 4 s for a lookup, where a leaving leaf must get nothing after 3 s. Class: a belief is checked where work is accepted and not where it leaves.

Change: with the drain mark the waiting requests go to other replicas, as they do when a leaf is gone. Looked for elsewhere: hedges and retries choose their leaf when they are sent; the older path's gate tells its waiting work of a drain (leaf_gate).

Test: instance_test.QueuedRequestsDoNotGoToALeafThatDrains failed before (3 requests at the draining leaf in place of 2).

--- a/src/gateway/leaf_endpoint.cpp
+++ b/src/gateway/leaf_endpoint.cpp
@@ -56,6 +56,9 @@
   mEntry = aEntry;
   mLoad.SetColdUntil(aNow + std::chrono::milliseconds(aEntry.mColdRemainingMs));
   ReportCrashes(mCrashDetector.OnBootId(std::to_string(aEntry.mIncarnation)));
+  if (mEntry.mDraining) {
+    FailQueued("the leaf is draining"); // They are sent to other replicas.
+  }
   if (!restarted) {
     return;
   }
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -386,6 +386,50 @@
   }
 }
 
+/** Requests that waited for a connection were sent to a leaf that had meanwhile
+ * said that it leaves. */
+TEST_F(instance_test, QueuedRequestsDoNotGoToALeafThatDrains)
+{
+  std::vector<std::pair<fake_leaf::connection*, http_message>> held;
+  const auto hold = [&](auto& aConnection, const auto& aRequest) {
+    held.emplace_back(&aConnection, aRequest);
+  };
+  fake_leaf& first = AddLeaf("plain", hold);
+  AddSingleServiceRoute(serving::repeatability::RunOnce);
+  mStore.mContent.mRoutes.back().mTimeout = seconds(5);
+  Start();
+  std::vector<std::unique_ptr<http_channel>> callers;
+  int answered = 0;
+  for (int request = 0; request < 3; ++request) {
+    callers.push_back(
+      std::make_unique<http_channel>(mLoop, mSettings.mCallerAddress));
+    callers.back()->Call("GET /one/x HTTP/1.1\r\nHost: h\r\nX-Id: r" +
+                           std::to_string(request) + "\r\nX-Left: 4000\r\n\r\n",
+                         seconds(4),
+                         [&](const std::optional<http_message>& aAnswer) {
+                           answered += aAnswer && aAnswer->mStatus == 200;
+                         });
+    RunFor(milliseconds(50));
+  }
+  ASSERT_EQ(first.mRequests, 2); // One on each connection; the third waits.
+  fake_leaf& second = AddLeaf("plain", hold);
+  serving::leaf_registration draining = mStore.mLeaves.front();
+  draining.mDraining = true;
+  draining.mRevision = 5;
+  serving::leaf_registration added = mStore.mLeaves.back();
+  added.mRevision = 5;
+  mStore.mDirectoryWatch(
+    serving::directory_delta{ 1, 5, { draining, added }, {} });
+  RunFor(milliseconds(100));
+  for (std::size_t index = 0; index < held.size(); ++index) {
+    held[index].first->Write(OkAnswer(held[index].second, "s", kLowRecord));
+    RunFor(milliseconds(100));
+  }
+  EXPECT_EQ(first.mRequests, 2);
+  EXPECT_EQ(second.mRequests, 1);
+  EXPECT_EQ(answered, 3);
+}
+
 /** The connections of a restarted leaf were destroyed while their streams still
  * had pending events, which crashed the instance (exit code 139). */
 TEST_F(instance_test, LeafRestartsWhileItAnswers)
