The time to merge and send an answer counts towards its target latency

Callers saw: quick answers just too late.

Cause: the moment of a partial answer left out the caller's network, but not what comes after the decision: merging the results of 115 to 135 shards, the signatures, a log line of some kilobytes and the send, on 0.12 of a core. The log line was written before the answer was sent.

Change: each instance measures the time from the decision until the answer was sent, by route, and decides so much earlier; the answer goes before the log. The log line of a request tells it as answer_ms.

Test: AnswerRule.SubtractsTheTimeToAnswerFromTheTarget; the rule had no such term before.

--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -33,6 +33,7 @@
     mExchange->ReceivedAt() +
     serving::PartialAnswerDelay(route.mTargetLatency,
                                 mExchange->CallerNetworkTime(),
+                                mPlan.mLatency->AnswerTime(),
                                 mContext.mSettings.mAnswerTiming);
   mRequirements.mDeadline = mPlan.mDeadline;
 }
--- a/src/gateway/query_execution_answer.cpp
+++ b/src/gateway/query_execution_answer.cpp
@@ -124,6 +124,16 @@
     shard.mOutstanding.clear();
   }
   const auto latency = aNow - mExchange->ReceivedAt();
+  if (aResponse != nullptr) {
+    mExchange->Respond(*aResponse);
+  } else {
+    mExchange->OnCallerLeft(nullptr);
+  }
+  // Merging and sending a large answer takes a small machine milliseconds.
+  const auto answerTime = event_loop::Now() - aNow;
+  if (aResponse != nullptr && mAnsweredShards > 0) {
+    mPlan.mLatency->AddAnswerTime(answerTime);
+  }
   mContext.mLog.Write(
     ops::log_level::Info,
     "request",
@@ -134,6 +144,7 @@
       { "status",
         static_cast<long>(aResponse == nullptr ? 0 : aResponse->mStatus) },
       { "ms", static_cast<double>(latency.count()) / 1000.0 },
+      { "answer_ms", static_cast<double>(answerTime.count()) / 1000.0 },
       { "answered", static_cast<long>(mAnsweredShards) },
       { "total", static_cast<long>(mShards.size()) },
       { "sends", static_cast<long>(mAttemptCount) },
@@ -156,11 +167,6 @@
                                   model::kind_id(mPlan.mRoute->mName),
                                   model::workspace_id(mPlan.mRoute->mHost) },
                                 figures);
-  if (aResponse != nullptr) {
-    mExchange->Respond(*aResponse);
-  } else {
-    mExchange->OnCallerLeft(nullptr);
-  }
   // Deferred: this may be the last reference, with member functions on the
   // stack.
   mContext.mLoop.Defer([self = std::move(mSelf)] {});
--- a/src/serving/answer_rule.cpp
+++ b/src/serving/answer_rule.cpp
@@ -26,18 +26,20 @@
 model::duration
 PartialAnswerDelay(model::duration aTarget,
                    model::duration aCallerNetworkTime,
+                   model::duration aAnswerTime,
                    const answer_timing& aTiming)
 {
   if (aCallerNetworkTime.count() == 0) {
-    return model::ScaleDuration(aTarget,
-                                aTiming.mTargetFractionUnknownNetworkTime);
+    const auto usable =
+      model::ScaleDuration(aTarget, aTiming.mTargetFractionUnknownNetworkTime);
+    return std::max(usable - aAnswerTime, aTarget / 2);
   }
   const auto usable = std::min<model::duration>(
     model::ScaleDuration(aTarget, aTiming.mTargetFraction),
     aTarget - aTiming.mTimerMargin);
   // A caller that is too far away cannot be answered in time; half of the
   // target latency is used all the same.
-  return std::max(usable - aCallerNetworkTime, aTarget / 2);
+  return std::max(usable - aCallerNetworkTime - aAnswerTime, aTarget / 2);
 }
 
 answer_decision
--- a/src/serving/answer_rule_func.h
+++ b/src/serving/answer_rule_func.h
@@ -65,14 +65,18 @@
 
 /**
  * Callers measure from before they connect until the answer has arrived, so the
- * caller's network time is subtracted from the target latency.
+ * caller's network time is subtracted from the target latency, and the time
+ * that this machine takes to merge and send the answer.
  * @param aTarget The route's target latency.
  * @param aCallerNetworkTime The caller's network time; 0 if unknown.
+ * @param aAnswerTime Usual time from the decision to answer until the answer is
+ * sent.
  * @return Time from the request's arrival until a partial answer may be sent.
  */
 model::duration
 PartialAnswerDelay(model::duration aTarget,
                    model::duration aCallerNetworkTime,
+                   model::duration aAnswerTime,
                    const answer_timing& aTiming);
 
 /**
--- a/src/serving/route_latency_type.h
+++ b/src/serving/route_latency_type.h
@@ -38,6 +38,16 @@
     mHighQuantile.Add(aServiceTime, aNow);
   }
 
+  /** Adds the time from the decision to answer until the answer was sent. */
+  void AddAnswerTime(model::duration aTime)
+  {
+    mAnswerTime = mAnswerTime.count() == 0
+                    ? aTime
+                    : mAnswerTime + (aTime - mAnswerTime) / kAnswerTimeCount;
+  }
+
+  /** Usual time to merge and send an answer; 0 before the first. */
+  model::duration AnswerTime() const { return mAnswerTime; }
   model::duration Mean() const { return mMean; }
   /** Service time within which most attempts are answered (kHighQuantile). */
   model::duration HighQuantile() const
@@ -51,7 +61,11 @@
                                                 ///< several times the mean.
   static constexpr int kMeanSampleCount = 32; ///< Answers that the mean spans.
 
+  /** Answers that the mean answer time spans. */
+  static constexpr int kAnswerTimeCount = 8;
+
   model::duration mMean;
+  model::duration mAnswerTime{ 0 };
   model::duration mInitialHigh;
   policy::latency_tracker mHighQuantile;
 };
--- a/src/serving/shard_omission_func.h
+++ b/src/serving/shard_omission_func.h
@@ -25,9 +25,9 @@
  * allows. The demand on the slow shards falls below their capacity, and since
  * each fan-out omits the slowest ones of the moment, the omissions are spread
  * over them.
- * A shard that is as fast as most others is kept even if it is late: what delays
- * all of them, such as this machine's own load, is not shortened by omissions,
- * and the answer needs spare shards for leaves that pause.
+ * A shard that is as fast as most others is kept even if it is late: what
+ * delays all of them, such as this machine's own load, is not shortened by
+ * omissions, and the answer needs spare shards for leaves that pause.
  * @param aExpected Expected latency of each shard.
  * @param aTimeLimit Time within which a shard's answer is useful.
  * @param aMaxOmitted Shards that the answer may lack.
--- a/test/serving/routing_test.cpp
+++ b/test/serving/routing_test.cpp
@@ -3,6 +3,7 @@
  * Route matching, traffic splits and the decision on a request's answer.
  */
 #include "serving/answer_rule_func.h"
+#include "serving/route_latency_type.h"
 #include "serving/routing_config_base.h"
 #include "serving/weighted_split_base.h"
 
@@ -14,6 +15,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 route
 MakeRoute(const std::string& aName,
@@ -110,8 +112,10 @@
 {
   const answer_timing timing;
   const auto delay = [&](int aTargetMs, int aNetworkMs) {
-    return PartialAnswerDelay(
-      milliseconds(aTargetMs), milliseconds(aNetworkMs), timing);
+    return PartialAnswerDelay(milliseconds(aTargetMs),
+                              milliseconds(aNetworkMs),
+                              milliseconds(0),
+                              timing);
   };
   for (const int target : { 40, 80, 200, 800 }) {
     for (const int network : { 1, 6, 13 }) {
@@ -123,6 +127,31 @@
   EXPECT_EQ(delay(40, 100), milliseconds(20));
 }
 
+/** A small machine takes milliseconds to merge and send the answer of a large
+ * fan-out. Answers that were decided on in time reached their callers late. */
+TEST(AnswerRule, SubtractsTheTimeToAnswerFromTheTarget)
+{
+  route_latency latency(milliseconds(40));
+  const auto delay = [&](int aNetworkMs) {
+    return PartialAnswerDelay(
+      milliseconds(40), milliseconds(aNetworkMs), latency.AnswerTime(), {});
+  };
+  const auto before = delay(4);
+  EXPECT_EQ(latency.AnswerTime(), milliseconds(0));
+  latency.AddAnswerTime(milliseconds(3));
+  EXPECT_EQ(delay(4), before - milliseconds(3));
+  EXPECT_EQ(delay(0), model::duration(33'600) - milliseconds(3));
+  // A single delayed answer changes little; a lasting change is followed.
+  latency.AddAnswerTime(milliseconds(11));
+  EXPECT_EQ(latency.AnswerTime(), milliseconds(4));
+  for (int answer = 0; answer < 40; ++answer) {
+    latency.AddAnswerTime(milliseconds(8));
+  }
+  EXPECT_GT(latency.AnswerTime(), milliseconds(7));
+  latency.AddAnswerTime(seconds(60));
+  EXPECT_EQ(delay(4), milliseconds(20));
+}
+
 TEST(AnswerRule, RequiredShardsAreExactInBinaryFractions)
 {
   EXPECT_EQ(RequiredShards(20, 0.75), 15U);
