Pulled changes of the registrations tell when the store was last read

An instance that got its changes by pulling for two seconds had no sign of the store, read it itself, and took the end of an outage for granted. directory_caught_up showed it: source store, missing_kept 39.

That is a sign of the store as of then, and the receiver counts as complete since then, so that it does not read the store either. An old sign does not shorten an outage, and the first one after an outage begins the re-registration period.

Tests: LeafDirectory.PulledChangesShowThatTheStoreIsRead failed before (2 leaves kept, no sign of completeness); OldPulledChangesAreNoSignOfTheStore, PulledChangesStartTheReregistrationPeriod.

--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -121,7 +121,12 @@
   if (!snapshot->mConfigText.empty()) {
     AdoptConfig({ snapshot->mConfigRevision, snapshot->mConfigText }, "peer");
   }
-  const bool complete = mDirectory.OnPulledChanges(snapshot->mDirectory);
+  std::optional<model::instant> completeAt;
+  if (snapshot->mCompleteAgeMs) {
+    completeAt = now - std::chrono::milliseconds(*snapshot->mCompleteAgeMs);
+  }
+  const bool complete =
+    mDirectory.OnPulledChanges(snapshot->mDirectory, completeAt);
   ApplyLeaves();
   if (complete) {
     OnDirectoryComplete("peer", now);
@@ -174,6 +179,12 @@
     snapshot.mConfigText = mConfigText.mText;
   }
   snapshot.mDirectory = mDirectory.ChangesSince(request->mDirectoryRevision);
+  if (const auto completeAt = mDirectory.LastCompleteTime()) {
+    snapshot.mCompleteAgeMs = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(event_loop::Now() -
+                                                            *completeAt)
+        .count());
+  }
   return serving::EncodeSnapshot(snapshot);
 }
 
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -275,14 +275,16 @@
 std::string
 EncodeSnapshot(const fleet_snapshot& aSnapshot)
 {
-  return Pack(json::array({ kFormatVersion,
-                            aSnapshot.mConfigVersion,
-                            aSnapshot.mConfigRevision,
-                            aSnapshot.mConfigText,
-                            aSnapshot.mDirectory.mRevision,
-                            ToArrays(aSnapshot.mDirectory.mChangedLeaves),
-                            aSnapshot.mDirectory.mBaseRevision,
-                            aSnapshot.mDirectory.mRemovedIds }));
+  return Pack(json::array(
+    { kFormatVersion,
+      aSnapshot.mConfigVersion,
+      aSnapshot.mConfigRevision,
+      aSnapshot.mConfigText,
+      aSnapshot.mDirectory.mRevision,
+      ToArrays(aSnapshot.mDirectory.mChangedLeaves),
+      aSnapshot.mDirectory.mBaseRevision,
+      aSnapshot.mDirectory.mRemovedIds,
+      aSnapshot.mCompleteAgeMs ? json(*aSnapshot.mCompleteAgeMs) : json() }));
 }
 
 std::optional<fleet_snapshot>
@@ -304,6 +306,9 @@
     snapshot.mDirectory.mBaseRevision = value->at(6).get<std::uint64_t>();
     snapshot.mDirectory.mRemovedIds =
       value->at(7).get<std::vector<std::string>>();
+    if (!value->at(8).is_null()) {
+      snapshot.mCompleteAgeMs = value->at(8).get<std::uint32_t>();
+    }
     return snapshot;
   } catch (const json::exception&) {
     return std::nullopt; // The caller logs the failure with the sender.
--- a/src/serving/fleet_codec_func.h
+++ b/src/serving/fleet_codec_func.h
@@ -31,6 +31,9 @@
   std::string mConfigText;           ///< Unparsed, as stored; empty if the
                                      ///< peer has this version or a newer one.
   directory_delta mDirectory;        ///< Changes since the peer's revision.
+  /** Time since the sender's registrations were last known to be complete;
+   * nothing if never. */
+  std::optional<std::uint32_t> mCompleteAgeMs;
 };
 
 /** @return MessagePack array; the fields are identified by position. */
--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -210,10 +210,21 @@
 }
 
 bool
-leaf_directory::OnPulledChanges(const directory_delta& aDelta)
+leaf_directory::OnPulledChanges(const directory_delta& aDelta,
+                                std::optional<model::instant> aCompleteAt)
 {
   ApplyDelta(aDelta);
-  return AdvanceTo(aDelta);
+  if (aCompleteAt && (!mLastReadTime || *aCompleteAt > *mLastReadTime)) {
+    OnStoreRead(*aCompleteAt);
+  }
+  if (!AdvanceTo(aDelta)) {
+    return false;
+  }
+  if (aCompleteAt &&
+      (!mLastCompleteTime || *aCompleteAt > *mLastCompleteTime)) {
+    mLastCompleteTime = aCompleteAt;
+  }
+  return true;
 }
 
 directory_delta
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -44,9 +44,12 @@
   /** Merges a delta that a peer sent after it had read the store.
    * @return Whether all changes up to the delta's revision are known. */
   bool OnDelta(const directory_delta& aDelta, model::instant aNow);
-  /** Merges changes that a peer knew, of which the last may be old.
+  /** Merges changes that a peer knew.
+   * @param aCompleteAt When the peer's registrations were last known to be
+   * complete; nothing if never.
    * @return Whether all changes up to the delta's revision are known. */
-  bool OnPulledChanges(const directory_delta& aDelta);
+  bool OnPulledChanges(const directory_delta& aDelta,
+                       std::optional<model::instant> aCompleteAt);
   /** Changes for a peer that knows all changes up to aRevision; 0 if it knows
    * none. Their base revision is above aRevision if this directory began later
    * and does not know what was removed before. */
