--- a/src/gateway/leaf_connection_base.h
+++ b/src/gateway/leaf_connection_base.h
@@ -73,7 +73,7 @@
   std::optional<model::duration> mIdleTimeout;
   /** Answers to other requests read during the current one. */
   int mSkippedAnswers = 0;
-  int mInterimAnswers = 0; ///< Read during the current request.
+  int mInterimAnswers = 0;     ///< Read during the current request.
   bool mReceivedBytes = false; ///< The leaf has sent bytes on this connection.
 };
 
