--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -224,6 +224,32 @@
   EXPECT_EQ(directory.Size(), 1U);
 }
 
+/** A reader that was behind keeps leaves that are missing for the
+ * re-registration period. Peers that know of their removal only through it must
+ * not count as complete: the later removal has no revision of its own, and who
+ * misses it would send requests to those leaves for good. */
+TEST(LeafDirectory, AReaderThatKeepsMissingLeavesDoesNotClaimToBeComplete)
+{
+  leaf_directory reader;
+  leaf_directory peer;
+  for (leaf_directory* directory : { &reader, &peer }) {
+    directory->OnSnapshot({ 10, { Leaf("a", 1), Leaf("b", 2) } }, kStart);
+  }
+  const auto later = kStart + seconds(3);
+  const auto delta = reader.OnSnapshot({ 14, { Leaf("a", 1) } }, later);
+  ASSERT_TRUE(delta);
+  ASSERT_EQ(reader.MissingCount(), 1U);
+  EXPECT_FALSE(peer.OnDelta(*delta, later));
+  EXPECT_FALSE(peer.OnPulledChanges(reader.ChangesSince(10), later));
+  EXPECT_EQ(peer.Revision(), 10U);
+  // Another instance knows of the removal.
+  leaf_directory other;
+  other.OnSnapshot({ 10, { Leaf("a", 1), Leaf("b", 2) } }, kStart);
+  other.OnWatch({ 10, 14, {}, { "b" } }, kStart + seconds(1));
+  EXPECT_TRUE(peer.OnPulledChanges(other.ChangesSince(10), later));
+  EXPECT_EQ(peer.Size(), 1U);
+}
+
 TEST(LeafDirectory, HeartbeatsAreNotReportedAsChanges)
 {
   leaf_directory directory;
