An older state pulled from a peer no longer brings back a removed leaf

Callers saw: a request sent to a leaf 5.4 s after its drain.

A restarted instance reads the store and pulls from a peer at the same time. front-kafr-zayat-25 had revision 587 from the store, without the leaf, at 31.61; the answer of a peer that had not heard of the removal yet (others learned of it at 31.63) came at 31.69 and put the leaf and one more back. Removals have no mark at an instance that never knew the leaf, and nobody tells of them again. Class: a merge that knows additions and changes by revision, but an absence only by a mark.

Evidence: of all leaves gone in those seconds just these two stayed at front-kafr-zayat-25, both known to it at 31.69 with revision 138; 81 other instances lost them.

Change: what is older than the own revision, pulled or sent, is not applied: all that it can contain is known.

Test: LeafDirectory.AnOlderStateOfAPeerDoesNotBringBackALeaf failed before, by the pull and by a delta (2 leaves in place of 1).

--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -196,10 +196,10 @@
 bool
 leaf_directory::OnDelta(const directory_delta& aDelta, model::instant aNow)
 {
-  ApplyDelta(aDelta);
-  if (aDelta.mRevision < mRevision) {
-    return aDelta.mBaseRevision <= mRevision;
+  if (IsOutdated(aDelta)) {
+    return true;
   }
+  ApplyDelta(aDelta);
   // A peer may be the first to reach the store after an outage.
   OnStoreRead(aNow);
   if (!AdvanceTo(aDelta)) {
@@ -213,6 +213,9 @@
 leaf_directory::OnPulledChanges(const directory_delta& aDelta,
                                 std::optional<model::instant> aCompleteAt)
 {
+  if (IsOutdated(aDelta)) {
+    return true;
+  }
   ApplyDelta(aDelta);
   if (aCompleteAt && (!mLastReadTime || *aCompleteAt > *mLastReadTime)) {
     OnStoreRead(*aCompleteAt);
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -97,6 +97,12 @@
    * kept. */
   bool UpdateReregistrationPeriod(model::instant aNow);
   bool Remove(const std::string& aId, std::uint64_t aRevision);
+  /** Whether all that a delta can contain is known. A leaf in it that is not
+   * known has been removed since. */
+  bool IsOutdated(const directory_delta& aDelta) const
+  {
+    return aDelta.mRevision < mRevision;
+  }
   /** Applies the content of a delta. */
   void ApplyDelta(const directory_delta& aDelta);
   /** Advances the revision after a delta was applied.
--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -127,6 +127,22 @@
   EXPECT_EQ(peer.Size(), 1U);
 }
 
+/** A restarted instance reads the store while it pulls from a peer that has not
+ * heard of a removal yet. The peer's answer must not bring the leaf back:
+ * nobody would tell of the removal again. */
+TEST(LeafDirectory, AnOlderStateOfAPeerDoesNotBringBackALeaf)
+{
+  leaf_directory peer;
+  peer.OnSnapshot({ 15, { Leaf("a", 1), Leaf("b", 2) } }, kStart);
+  leaf_directory directory;
+  directory.OnSnapshot({ 20, { Leaf("a", 1) } }, kStart);
+  directory.OnPulledChanges(peer.ChangesSince(0), kStart);
+  EXPECT_EQ(directory.Size(), 1U);
+  directory.OnDelta({ 10, 15, { Leaf("b", 2) }, {} }, kStart);
+  EXPECT_EQ(directory.Size(), 1U);
+  EXPECT_EQ(directory.Revision(), 20U);
+}
+
 TEST(LeafDirectory, ARemovedLeafMayReturnWithItsOldRevision)
 {
   leaf_directory directory;
