What a reader sends to its peers is complete since its base revision

Cause: a reader sent what its own read of the store had changed for itself. A change that it knew before, from a peer's delta that had left a gap, was not in it, and a removal of a leaf that it had never known neither; but the delta said that it was complete since the reader's revision. Who had missed the first delta counted as complete without the change, for good. Class: as of the older states, a claim of completeness that is wider than what is told.

Change: what is sent is all that is known to have changed since the base revision, as a pull gets it; removals of unknown leaves are remembered. A starting instance no longer sends all registrations of its first read to all members.

Test: LeafDirectory.DeltasContainWhatTheReaderKnewBefore failed before (the removal was missing).

--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-bool
+void
 leaf_directory::Put(const leaf_registration& aLeaf, std::uint64_t aSeenAt)
 {
   const auto removed = mRemovedRevisions.find(aLeaf.mId);
@@ -25,7 +25,7 @@
     // A registration that expired in an outage of the store may return with its
     // old revision, so the revision at which it was seen decides.
     if (removed->second > aSeenAt) {
-      return false;
+      return;
     }
     mRemovedRevisions.erase(removed);
   }
@@ -34,17 +34,15 @@
   if (!inserted) {
     const leaf_registration& known = place->second.mRegistration;
     if (known.mRevision >= aLeaf.mRevision) {
-      return false;
+      return;
     }
     const bool same = known.EqualsIgnoringHeartbeat(aLeaf);
     place->second = { aLeaf, aSeenAt };
     if (same) {
-      // Peers still need the new revision: it shows that the leaf is alive.
-      return true;
+      return;
     }
   }
   mPendingChanges.mChangedLeaves.push_back(aLeaf);
-  return true;
 }
 
 bool
@@ -70,13 +68,16 @@
 leaf_directory::Remove(const std::string& aId, std::uint64_t aRevision)
 {
   const auto found = mLeaves.find(aId);
-  if (found == mLeaves.end() ||
-      found->second.mRegistration.mRevision > aRevision) {
-    return false;
+  if (found != mLeaves.end()) {
+    if (found->second.mRegistration.mRevision > aRevision) {
+      return false;
+    }
+    mLeaves.erase(found);
+    mPendingChanges.mRemovedIds.push_back(aId);
   }
-  mLeaves.erase(found);
-  mPendingChanges.mRemovedIds.push_back(aId);
-  mRemovedRevisions[aId] = aRevision;
+  // Also for a leaf that was not known: peers may know it.
+  std::uint64_t& removedAt = mRemovedRevisions[aId];
+  removedAt = std::max(removedAt, aRevision);
   if (mRemovedRevisions.size() > kMaxRemovedIds) {
     const auto oldest =
       std::min_element(mRemovedRevisions.begin(),
@@ -101,16 +102,12 @@
   if (mRevision == 0) {
     mHistoryStart = aSnapshot.mRevision;
   }
-  directory_delta delta{
-    std::max(mRevision, mHistoryStart), aSnapshot.mRevision, {}, {}
-  };
+  const std::uint64_t base = std::max(mRevision, mHistoryStart);
   std::set<std::string> present;
   for (const leaf_registration& leaf : aSnapshot.mLeaves) {
     present.insert(leaf.mId);
     mMissingRevisions.erase(leaf.mId);
-    if (Put(leaf, aSnapshot.mRevision)) {
-      delta.mChangedLeaves.push_back(leaf);
-    }
+    Put(leaf, aSnapshot.mRevision);
   }
   std::vector<std::string> missing;
   for (const auto& [id, leaf] : mLeaves) {
@@ -121,36 +118,34 @@
   for (const std::string& id : missing) {
     if (keepMissing) {
       mMissingRevisions[id] = aSnapshot.mRevision;
-    } else if (Remove(id, aSnapshot.mRevision)) {
-      delta.mRemovedIds.push_back(id);
+    } else {
+      Remove(id, aSnapshot.mRevision);
     }
   }
   mRevision = aSnapshot.mRevision;
   mLastCompleteTime = aNow;
-  return delta;
+  return ChangesSince(base);
 }
 
 directory_delta
 leaf_directory::OnWatch(const directory_delta& aChanges, model::instant aNow)
 {
   const bool keepMissing = OnStoreRead(aNow);
-  directory_delta delta{ mRevision, aChanges.mRevision, {}, {} };
+  const std::uint64_t base = mRevision;
   for (const leaf_registration& leaf : aChanges.mChangedLeaves) {
     mMissingRevisions.erase(leaf.mId);
-    if (Put(leaf, aChanges.mRevision)) {
-      delta.mChangedLeaves.push_back(leaf);
-    }
+    Put(leaf, aChanges.mRevision);
   }
   for (const std::string& id : aChanges.mRemovedIds) {
     if (keepMissing) {
       mMissingRevisions[id] = aChanges.mRevision;
-    } else if (Remove(id, aChanges.mRevision)) {
-      delta.mRemovedIds.push_back(id);
+    } else {
+      Remove(id, aChanges.mRevision);
     }
   }
   mRevision = std::max(mRevision, aChanges.mRevision);
   mLastCompleteTime = aNow;
-  return delta;
+  return ChangesSince(base);
 }
 
 std::optional<directory_delta>
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -83,11 +83,10 @@
 
 private:
   /**
-   * Adds or updates a registration.
+   * Adds or updates a registration, unless a newer one or its removal is known.
    * @param aSeenAt Store revision at which the registration existed.
-   * @return Whether it is newer than the known one.
    */
-  bool Put(const leaf_registration& aLeaf, std::uint64_t aSeenAt);
+  void Put(const leaf_registration& aLeaf, std::uint64_t aSeenAt);
   /** Records that the store was read, by this instance or by a peer.
    * @return Whether missing registrations are kept, as in
    * UpdateReregistrationPeriod. */
@@ -96,6 +95,8 @@
    * @return Whether the period is running, so that missing registrations are
    * kept. */
   bool UpdateReregistrationPeriod(model::instant aNow);
+  /** Removes a registration and remembers the removal.
+   * @return Whether no newer registration is known. */
   bool Remove(const std::string& aId, std::uint64_t aRevision);
   /** Whether all that a delta can contain is known. A leaf in it that is not
    * known has been removed since. */
--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -240,6 +240,24 @@
   EXPECT_EQ(directory.Size(), 1U);
 }
 
+/** What a reader sends to its peers has to be complete since its base revision,
+ * also where the reader knew a change before, from a delta that left a gap. */
+TEST(LeafDirectory, DeltasContainWhatTheReaderKnewBefore)
+{
+  leaf_directory reader;
+  leaf_directory peer;
+  for (leaf_directory* directory : { &reader, &peer }) {
+    directory->OnSnapshot({ 10, { Leaf("a", 1), Leaf("b", 2) } }, kStart);
+  }
+  // A delta that the peer misses; part of it is new to the reader.
+  EXPECT_FALSE(reader.OnDelta({ 20, 21, { Leaf("c", 21) }, { "b" } }, kStart));
+  const auto delta =
+    reader.OnWatch({ 10, 22, { Leaf("c", 21) }, { "b" } }, kStart);
+  EXPECT_TRUE(peer.OnDelta(delta, kStart));
+  EXPECT_EQ(peer.Size(), 2U);
+  EXPECT_EQ(peer.ChangesSince(10).mRemovedIds, std::vector<std::string>{ "b" });
+}
+
 /** A reader that was behind keeps leaves that are missing for the
  * re-registration period. Peers that know of their removal only through it must
  * not count as complete: the later removal has no revision of its own, and who
