A reader that keeps missing leaves does not count its peers as complete

Cause: registrations that are missing after an outage, or after a gap that looked like one, are kept for 2.3 s. The reader told its peers that they were complete up to its read; the removal that follows has no revision of its own, so whoever missed that one datagram kept the leaf.

Change: while leaves are kept, and for revisions before, a reader's changes begin at its own revision: peers that are behind stay behind, and ask another peer or, after 2.3 s, the store.

--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -124,6 +124,9 @@
   }
   mRevision = aSnapshot.mRevision;
   mLastCompleteTime = aNow;
+  if (!mMissingRevisions.empty()) {
+    mHistoryStart = mRevision;
+  }
   return ChangesSince(base);
 }
 
@@ -145,6 +148,9 @@
   }
   mRevision = std::max(mRevision, aChanges.mRevision);
   mLastCompleteTime = aNow;
+  if (!mMissingRevisions.empty()) {
+    mHistoryStart = mRevision;
+  }
   return ChangesSince(base);
 }
 
@@ -229,7 +235,10 @@
 leaf_directory::ChangesSince(std::uint64_t aRevision) const
 {
   directory_delta delta;
-  delta.mBaseRevision = aRevision == 0 ? 0 : std::max(aRevision, mHistoryStart);
+  // A peer that knows no leaf needs no removals, but must not learn of leaves
+  // whose removal is yet to come as if they were complete.
+  const bool knowsAll = aRevision == 0 && mMissingRevisions.empty();
+  delta.mBaseRevision = knowsAll ? 0 : std::max(aRevision, mHistoryStart);
   delta.mRevision = mRevision;
   for (const auto& [id, leaf] : mLeaves) {
     if (leaf.mSeenAt > aRevision) {
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -127,7 +127,8 @@
    * store revision at which each was absent. */
   std::map<std::string, std::uint64_t> mMissingRevisions;
   std::uint64_t mRevision = 0;
-  /** Removals since this store revision are remembered. */
+  /** Removals since this store revision are remembered. Those of leaves that
+   * are kept although they are missing are yet to come. */
   std::uint64_t mHistoryStart = 0;
   std::optional<model::instant> mLastCompleteTime;
   /** Last time at which this instance or, by its delta, a peer had read the
--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -275,6 +275,7 @@
   ASSERT_EQ(reader.MissingCount(), 1U);
   EXPECT_FALSE(peer.OnDelta(*delta, later));
   EXPECT_FALSE(peer.OnPulledChanges(reader.ChangesSince(10), later));
+  EXPECT_FALSE(leaf_directory().OnPulledChanges(reader.ChangesSince(0), later));
   EXPECT_EQ(peer.Revision(), 10U);
   // Another instance knows of the removal.
   leaf_directory other;
