Limits that leaves name are read and logged

Cause: the field was not decoded, so no log could tell whether an instance knew of a limit. leaf_limit_table keeps the latest one of each leaf; leaf_limit and leaf_limit_ended are logged once a change. Nothing acts on it yet.

--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -364,6 +364,37 @@
       std::chrono::floor<std::chrono::milliseconds>(aExcess).count()));
 }
 
+void
+entry_instance::OnRateLimit(const leaf_endpoint& aLeaf,
+                            std::optional<double> aPerSecond)
+{
+  if (mLimits.OnAnswer(aLeaf.Entry().mId, aPerSecond, event_loop::Now())) {
+    LogLimit(aLeaf, "answer");
+  }
+}
+
+void
+entry_instance::LogLimit(const leaf_endpoint& aLeaf, const char* aSource) const
+{
+  const auto limit = mLimits.Limit(aLeaf.Entry().mId);
+  mLog.Write(ops::log_level::Info,
+             limit ? "leaf_limit" : "leaf_limit_ended",
+             { { "leaf", aLeaf.Entry().mId },
+               { "service", aLeaf.Entry().mService },
+               { "per_second", limit.value_or(0) },
+               { "source", std::string(aSource) } });
+}
+
+void
+entry_instance::OnRateLimitMalformed(const leaf_endpoint& aLeaf,
+                                     const std::string& aValue)
+{
+  mMetrics.Count("leaf_limits_malformed");
+  mLog.Write(ops::log_level::Warning,
+             "leaf_limit_malformed",
+             { { "leaf", aLeaf.Entry().mId }, { "value", aValue } });
+}
+
 void
 entry_instance::OnLeafError(const leaf_endpoint& aLeaf)
 {
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -14,6 +14,7 @@
 #include "gateway/stop_sequence_base.h"
 #include "gateway/uv_http_server_base.h"
 #include "ops/bounded_sink_base.h"
+#include "serving/leaf_limit_table_base.h"
 
 #include <memory>
 #include <optional>
@@ -44,6 +45,10 @@
   void OnConnectionOpened(const leaf_endpoint& aLeaf) override;
   void OnExcessLatency(const leaf_endpoint& aLeaf,
                        model::duration aExcess) override;
+  void OnRateLimit(const leaf_endpoint& aLeaf,
+                   std::optional<double> aPerSecond) override;
+  void OnRateLimitMalformed(const leaf_endpoint& aLeaf,
+                            const std::string& aValue) override;
   void OnLeafError(const leaf_endpoint& aLeaf) override;
   void OnLeafCrashed(const leaf_endpoint& aLeaf,
                      const once::suspicion& aSuspicion) override;
@@ -59,6 +64,7 @@
   void CheckReadiness(model::instant aNow);
   void AddObservation(const leaf_endpoint& aLeaf,
                       std::optional<std::int32_t> aExcessMs);
+  void LogLimit(const leaf_endpoint& aLeaf, const char* aSource) const;
   void LogReachability(const std::string& aDataCentre,
                        bool aUnreachable,
                        const std::string& aReason) const;
@@ -72,6 +78,7 @@
   std::shared_ptr<ops::bounded_sink> mSink;
   serving::retry_budget mRetryBudget;
   once::quarantine mQuarantine;
+  serving::leaf_limit_table mLimits;
   leaf_table mLeaves;
   request_dispatcher mDispatcher;
   control_plane mControlPlane;
--- a/src/gateway/header_names_type.h
+++ b/src/gateway/header_names_type.h
@@ -22,6 +22,9 @@
   /** Signatures of the shard results in an answer. */
   std::string mShardSignatures;
   std::string mMissingShards; ///< Number of shards missing from an answer.
+  /** Requests per second that the answering leaf accepts from all instances
+   * together; absent if it accepts any rate. */
+  std::string mRateLimit;
 
   bool operator==(const header_names&) const = default;
 };
--- a/src/gateway/leaf_connection.cpp
+++ b/src/gateway/leaf_connection.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace monsooncroft::gateway {
 
@@ -170,6 +171,7 @@
     return;
   }
   ReadKeepAliveTimeout(answer);
+  ReadRateLimit(answer);
   const bool reusable =
     answer.mKeepAlive && mSkippedAnswers == 0 && mStream->PendingBytes() == 0;
   const bool misdirected = answer.mStatus == 421;
@@ -221,6 +223,30 @@
   }
 }
 
+void
+leaf_connection::ReadRateLimit(const http_message& aAnswer)
+{
+  const std::string* value = aAnswer.Find(mHeaderNames.mRateLimit);
+  double perSecond = 0;
+  if (value != nullptr) {
+    const auto parsed =
+      std::from_chars(value->data(), value->data() + value->size(), perSecond);
+    if (parsed.ec != std::errc() || !std::isfinite(perSecond) ||
+        perSecond <= 0) {
+      mLeaf.OnRateLimitMalformed(*value);
+      return;
+    }
+    mLeaf.OnRateLimit(perSecond);
+    return;
+  }
+  // A refusal need not repeat the limit.
+  const bool ran =
+    aAnswer.Find(mHeaderNames.mNotRun) == nullptr && aAnswer.mStatus / 100 == 2;
+  if (ran) {
+    mLeaf.OnRateLimit(std::nullopt);
+  }
+}
+
 void
 leaf_connection::OnEnd(stream_end aEnd)
 {
--- a/src/gateway/leaf_connection_base.h
+++ b/src/gateway/leaf_connection_base.h
@@ -59,6 +59,7 @@
   void ParseAnswers(std::string_view aBytes);
   void OnMessage();
   void ReadKeepAliveTimeout(const http_message& aAnswer);
+  void ReadRateLimit(const http_message& aAnswer);
 
   event_loop& mLoop;
   leaf_endpoint& mLeaf;
--- a/src/gateway/leaf_endpoint.cpp
+++ b/src/gateway/leaf_endpoint.cpp
@@ -335,6 +335,18 @@
   }
 }
 
+void
+leaf_endpoint::OnRateLimit(std::optional<double> aPerSecond)
+{
+  mObserver.OnRateLimit(*this, aPerSecond);
+}
+
+void
+leaf_endpoint::OnRateLimitMalformed(const std::string& aValue)
+{
+  mObserver.OnRateLimitMalformed(*this, aValue);
+}
+
 bool
 leaf_endpoint::HasConnection(const leaf_connection& aConnection) const
 {
--- a/src/gateway/leaf_endpoint_base.h
+++ b/src/gateway/leaf_endpoint_base.h
@@ -104,6 +104,11 @@
   void OnConnectionLostInFlight(const leaf_attempt& aAttempt,
                                 model::instant aNow);
   void OnMisdirected() { mMisdirected = true; }
+  /** @param aPerSecond The limit that an answer names; nothing if it names
+   * none. */
+  void OnRateLimit(std::optional<double> aPerSecond);
+  /** The limit in an answer is no positive number. */
+  void OnRateLimitMalformed(const std::string& aValue);
   bool HasConnection(const leaf_connection& aConnection) const;
 
 private:
@@ -161,6 +166,12 @@
    * one. */
   virtual void OnExcessLatency(const leaf_endpoint& aLeaf,
                                model::duration aExcess) = 0;
+  /** @param aPerSecond The rate limit that the leaf's answer names; nothing if
+   * it names none. */
+  virtual void OnRateLimit(const leaf_endpoint& aLeaf,
+                           std::optional<double> aPerSecond) = 0;
+  virtual void OnRateLimitMalformed(const leaf_endpoint& aLeaf,
+                                    const std::string& aValue) = 0;
   /** The leaf refused a request or failed. */
   virtual void OnLeafError(const leaf_endpoint& aLeaf) = 0;
   /** The leaf crashed during a request that may have caused the crash. */
