--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -21,8 +21,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const header_names kNames{ "X-Id",  "X-Left", "X-Sig",    "X-Expect",
-                           "X-Not", "X-Sigs", "X-Missing" };
+const header_names kNames{ "X-Id",  "X-Left", "X-Sig",     "X-Expect",
+                           "X-Not", "X-Sigs", "X-Missing", "X-Limit" };
 
 /** Sets up an event loop, a store, leaves, one instance and a caller. */
 class instance_test : public testing::Test
@@ -526,6 +526,45 @@
   EXPECT_EQ(SendRequest("one", "r3").mStatus, 400);
 }
 
+/** Leaves that named a rate limit in their answers got as many requests as
+ * before. */
+TEST_F(instance_test, LeafGetsNoMoreThanTheLimitThatItNames)
+{
+  constexpr int kPerSecond = 5;
+  constexpr int kRequests = 120;
+  const auto answer = [](auto& aConnection, const auto& aRequest) {
+    aConnection.Write("HTTP/1.1 200 OK\r\nX-Id: " + *aRequest.Find("X-Id") +
+                      "\r\nX-Sig: s\r\nX-Limit: " + std::to_string(kPerSecond) +
+                      "\r\nContent-Length: 1\r\n\r\nx");
+  };
+  AddLeaf("plain", answer);
+  AddLeaf("plain", answer);
+  AddSingleServiceRoute(serving::repeatability::Idempotent);
+  Start();
+  const model::instant start = event_loop::Now();
+  int answered = 0;
+  for (int request = 0; request < kRequests; ++request) {
+    const http_message reply =
+      SendRequest("/one/x", "r" + std::to_string(request));
+    answered += reply.mStatus == 200 ? 1 : 0;
+    if (reply.mStatus != 200) {
+      EXPECT_EQ(reply.mStatus, 503);
+      EXPECT_NE(reply.Find("Retry-After"), nullptr);
+    }
+    RunFor(milliseconds(10));
+  }
+  const double seconds =
+    std::chrono::duration<double>(event_loop::Now() - start).count();
+  int arrived = 0;
+  for (const auto& leaf : mLeaves) {
+    // A leaf bears a second's worth at once.
+    EXPECT_LE(leaf->mRequests, kPerSecond * (seconds + 1));
+    arrived += leaf->mRequests;
+  }
+  EXPECT_EQ(answered, arrived);
+  EXPECT_GE(arrived, static_cast<int>(kPerSecond * seconds));
+}
+
 /** Versions may arrive out of order; an older version must never replace a
  * newer one. */
 TEST_F(instance_test, ConfigurationVersionNeverDecreases)
