A leaf's rate limit holds for the fleet: one instance issues permits

Class: a bound of the whole fleet that no single instance can keep.

Change: an attempt at a leaf that names a limit needs a permit. One instance, by rendezvous over the members, issues them for a group of services from a token bucket a leaf; an equal share holds while it does not respond. Limits and their ends are told to all members.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -106,8 +106,17 @@
   }
   const std::string bytes =
     serving::EncodeMessage(MakeMessage(mFleet.LiveMembers(aNow).empty()));
+  // Limits are sent apart, so that both messages fit a datagram.
+  serving::fleet_message limits;
+  limits.mLeafLimits = mHooks.mLeafLimits();
+  limits.mMembers = { mFleet.Self() };
+  const std::string limitBytes =
+    limits.mLeafLimits.empty() ? "" : serving::EncodeMessage(limits);
   for (const model::endpoint& target : targets) {
     SendToPeer(target, bytes);
+    if (!limitBytes.empty()) {
+      SendToPeer(target, limitBytes);
+    }
   }
 }
 
@@ -195,6 +204,15 @@
       OnDirectoryBehind(message->mMembers.front().mName, delta.mRevision, now);
     }
   }
+  for (const serving::leaf_limit_report& report : message->mLeafLimits) {
+    mHooks.mOnLeafLimit(report);
+  }
+  for (const serving::permit_request& request : message->mPermitRequests) {
+    mHooks.mOnPermitRequest(request, aFrom);
+  }
+  for (const serving::permit_reply& reply : message->mPermitReplies) {
+    mHooks.mOnPermitReply(reply);
+  }
   if (message->mWantsReply) {
     SendToPeer(aFrom, serving::EncodeMessage(MakeMessage(false)));
   }
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -8,6 +8,7 @@
 #include "gateway/control_settings_type.h"
 #include "gateway/control_store_base.h"
 #include "gateway/peer_socket_base.h"
+#include "gateway/permit_peers_base.h"
 #include "serving/fleet_membership_base.h"
 #include "serving/leaf_directory_base.h"
 
@@ -31,7 +32,7 @@
  * and the age of its data decide which instance reads, so that an unreachable
  * reader is replaced without an election.
  */
-class control_plane
+class control_plane : public permit_peers
 {
 public:
   /** Callbacks into the rest of the instance. */
@@ -46,6 +47,12 @@
     std::function<std::vector<serving::leaf_suspicion>()> mSuspectedLeaves;
     std::function<void(const once::crash_mark&)> mOnCrashMark;
     std::function<std::vector<once::crash_mark>()> mCrashMarks;
+    std::function<void(const serving::leaf_limit_report&)> mOnLeafLimit;
+    /** Limits to be sent in the next gossip round. */
+    std::function<std::vector<serving::leaf_limit_report>()> mLeafLimits;
+    std::function<void(const serving::permit_request&, const model::endpoint&)>
+      mOnPermitRequest;
+    std::function<void(const serving::permit_reply&)> mOnPermitReply;
   };
 
   control_plane(event_loop& aLoop,
@@ -55,7 +62,7 @@
                 hooks aHooks,
                 const ops::log& aLog,
                 ops::metrics& aMetrics);
-  ~control_plane();
+  ~control_plane() override;
   control_plane(const control_plane&) = delete;
   control_plane& operator=(const control_plane&) = delete;
   control_plane(control_plane&&) = delete;
@@ -81,6 +88,19 @@
     std::vector<serving::leaf_observation> aObservations,
     std::vector<std::string> aUnreachableDataCentres,
     model::instant aNow);
+  std::optional<model::endpoint> PermitIssuer(
+    const std::string& aServiceGroup,
+    model::instant aNow) const override;
+  void SendPermitRequest(
+    const model::endpoint& aTo,
+    const serving::permit_request& aRequest,
+    const std::vector<serving::leaf_limit_report>& aLimits) override;
+  void SendPermitReply(const model::endpoint& aTo,
+                       const serving::permit_reply& aReply) override;
+  void SendLeafLimits(const std::vector<serving::leaf_limit_report>& aLimits,
+                      model::instant aNow) override;
+  std::size_t SendingInstances(model::instant aNow) const override;
+  double ReachableShare(model::instant aNow) const override;
   /** Sends all peers the mark of a request that crashed a leaf. */
   void SendCrashMark(const once::crash_mark& aMark, model::instant aNow);
 
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -26,6 +26,8 @@
 constexpr double kMinReachableFraction = 0.75;
 /** Leaf observations in one message, so that it fits a datagram. */
 constexpr std::size_t kMaxObservations = 48;
+/** Leaves' limits in one message, so that it fits a datagram. */
+constexpr std::size_t kMaxLimitReports = 40;
 /** Fraction of the demand that must be servable to be ready while a data centre
  * is unreachable. */
 constexpr double kMinServableFraction = 0.5;
@@ -107,22 +109,29 @@
             *this,
             mSettings.mName,
             mSettings.mDataCentre)
+  , mControlPlane(aLoop,
+                  aStore,
+                  MakeFleet(mSettings),
+                  mSettings.mControl,
+                  MakeHooks(),
+                  aLog,
+                  aMetrics)
+  , mPermits(aLoop,
+             mLeaves,
+             mLimits,
+             mControlPlane,
+             aMetrics,
+             cluster::HashOf(mSettings.mName) ^ WallMs())
   , mDispatcher({ aLoop,
                   mSettings.mHeaderNames,
                   mLeaves,
+                  mPermits,
                   mRetryBudget,
                   mQuarantine,
                   mSettings.mQuery,
                   aLog,
                   aMetrics },
                 SplitOffset(mSettings.mName))
-  , mControlPlane(aLoop,
-                  aStore,
-                  MakeFleet(mSettings),
-                  mSettings.mControl,
-                  MakeHooks(),
-                  aLog,
-                  aMetrics)
   , mCallerServer(aLoop, mSettings.mCallerAddress, mDispatcher, aLog)
   , mReadinessServer(aLoop, mSettings.mReadinessAddress, *this, aLog)
   , mTickTimer(aLoop, [this] { OnTick(); })
@@ -154,6 +163,7 @@
   };
   hooks.mOnLeaves = [this](const serving::leaf_directory::changes& aChanges) {
     const model::instant now = event_loop::Now();
+    ForgetLimits(aChanges);
     mLeaves.Apply(aChanges, now);
     mLeaves.AllocateConnections(mDispatcher.Config().get(),
                                 mControlPlane.Fleet().FleetSize(now));
@@ -186,6 +196,19 @@
     mQuarantine.Merge(aMark, WallNow());
   };
   hooks.mCrashMarks = [this] { return mQuarantine.UnexpiredMarks(WallNow()); };
+  hooks.mOnLeafLimit = [this](const serving::leaf_limit_report& aReport) {
+    OnPeerLimit(aReport);
+  };
+  hooks.mLeafLimits = [this] {
+    return mLimits.NextReports(kMaxLimitReports, event_loop::Now());
+  };
+  hooks.mOnPermitRequest = [this](const serving::permit_request& aRequest,
+                                  const model::endpoint& aFrom) {
+    mPermits.OnRequest(aRequest, aFrom, event_loop::Now());
+  };
+  hooks.mOnPermitReply = [this](const serving::permit_reply& aReply) {
+    mPermits.OnReply(aReply, event_loop::Now());
+  };
   hooks.mSuspectedLeaves = [this] {
     return mLeaves.SuspectedLeaves(event_loop::Now());
   };
@@ -222,6 +245,7 @@
 entry_instance::OnGossipRound(model::instant aNow)
 {
   mQuarantine.OnTimer(WallNow());
+  mPermits.OnTimer(aNow);
   mControlPlane.OnGossipRound(aNow);
   const serving::fleet_size instances = mControlPlane.Fleet().FleetSize(aNow);
   mRetryBudget.SetInstanceCount(instances.mTotal);
@@ -368,8 +392,36 @@
 entry_instance::OnRateLimit(const leaf_endpoint& aLeaf,
                             std::optional<double> aPerSecond)
 {
-  if (mLimits.OnAnswer(aLeaf.Entry().mId, aPerSecond, event_loop::Now())) {
+  const model::instant now = event_loop::Now();
+  if (mLimits.OnAnswer(
+        aLeaf.Entry().mId, aLeaf.Entry().mIncarnation, aPerSecond, now)) {
     LogLimit(aLeaf, "answer");
+    mControlPlane.SendLeafLimits({ *mLimits.Report(aLeaf.Entry().mId, now) },
+                                 now);
+  }
+}
+
+void
+entry_instance::ForgetLimits(const serving::leaf_directory::changes& aChanges)
+{
+  for (const std::string& id : aChanges.mRemovedIds) {
+    mLimits.Forget(id);
+  }
+  for (const serving::leaf_registration& entry : aChanges.mChangedLeaves) {
+    const leaf_endpoint* known = mLeaves.Find(entry.mId);
+    if (known != nullptr && known->Entry().mIncarnation != entry.mIncarnation) {
+      mLimits.Forget(entry.mId);
+    }
+  }
+}
+
+void
+entry_instance::OnPeerLimit(const serving::leaf_limit_report& aReport)
+{
+  const leaf_endpoint* leaf = mLeaves.Find(aReport.mLeafId);
+  if (leaf != nullptr && leaf->Entry().mIncarnation == aReport.mIncarnation &&
+      mLimits.OnReport(aReport, event_loop::Now())) {
+    LogLimit(*leaf, "peer");
   }
 }
 
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -10,6 +10,7 @@
 #include "gateway/instance_settings_type.h"
 #include "gateway/leaf_table_base.h"
 #include "gateway/loop_timer_base.h"
+#include "gateway/permit_client_base.h"
 #include "gateway/request_dispatcher_base.h"
 #include "gateway/stop_sequence_base.h"
 #include "gateway/uv_http_server_base.h"
@@ -64,6 +65,9 @@
   void CheckReadiness(model::instant aNow);
   void AddObservation(const leaf_endpoint& aLeaf,
                       std::optional<std::int32_t> aExcessMs);
+  /** Forgets the limits of leaves that are gone or have started again. */
+  void ForgetLimits(const serving::leaf_directory::changes& aChanges);
+  void OnPeerLimit(const serving::leaf_limit_report& aReport);
   void LogLimit(const leaf_endpoint& aLeaf, const char* aSource) const;
   void LogReachability(const std::string& aDataCentre,
                        bool aUnreachable,
@@ -80,8 +84,9 @@
   once::quarantine mQuarantine;
   serving::leaf_limit_table mLimits;
   leaf_table mLeaves;
-  request_dispatcher mDispatcher;
   control_plane mControlPlane;
+  permit_client mPermits;
+  request_dispatcher mDispatcher;
   uv_http_server mCallerServer;
   uv_http_server mReadinessServer;
   loop_timer mTickTimer;
--- a/src/gateway/leaf_attempt_type.h
+++ b/src/gateway/leaf_attempt_type.h
@@ -48,6 +48,10 @@
   attempt_observer& operator=(attempt_observer&&) = delete;
 
   virtual void OnAttemptEnd(leaf_attempt& aAttempt, attempt_result aResult) = 0;
+  /** The attempt's leaf limits its rate, and there is a permit for it. */
+  virtual void OnAttemptAdmitted(leaf_attempt& aAttempt) = 0;
+  /** Permits without which the request fails, of those that it waits for. */
+  virtual std::size_t RequiredPermits() const = 0;
 };
 
 /** The part of a request that is the same in all attempts. */
--- a/src/gateway/leaf_endpoint.cpp
+++ b/src/gateway/leaf_endpoint.cpp
@@ -335,6 +335,24 @@
   }
 }
 
+void
+leaf_endpoint::SetOverLimit(int aPriority, model::instant aUntil)
+{
+  // aUntil is a time from now, so a past one no longer matters.
+  if (aUntil >= mOverLimitUntil || aPriority <= mOverLimitPriority) {
+    mOverLimitUntil = aUntil;
+    mOverLimitPriority = aPriority;
+  }
+}
+
+std::optional<model::instant>
+leaf_endpoint::OverLimitUntil(int aPriority, model::instant aNow) const
+{
+  return aNow < mOverLimitUntil && aPriority >= mOverLimitPriority
+           ? std::optional(mOverLimitUntil)
+           : std::nullopt;
+}
+
 void
 leaf_endpoint::OnRateLimit(std::optional<double> aPerSecond)
 {
--- a/src/gateway/leaf_endpoint_base.h
+++ b/src/gateway/leaf_endpoint_base.h
@@ -67,6 +67,18 @@
       aNow < mConnectionLimitUntil && mConnections.empty();
     return !mEntry.mDraining && !mMisdirected && !limitReached;
   }
+  /** The leaf's rate limit allows no request of this priority, or of less
+   * urgent ones, before that time. */
+  void SetOverLimit(int aPriority, model::instant aUntil);
+  /** Until when the leaf's rate limit allows no request of this priority;
+   * nothing if it may allow one now. */
+  std::optional<model::instant> OverLimitUntil(int aPriority,
+                                               model::instant aNow) const;
+  /** Whether a request of this priority may be submitted. */
+  bool AcceptsRequest(int aPriority, model::instant aNow) const
+  {
+    return AcceptsWork(aNow) && !OverLimitUntil(aPriority, aNow);
+  }
   serving::leaf_health& Load() { return mLoad; }
   const serving::leaf_health& Load() const { return mLoad; }
 
@@ -135,6 +147,8 @@
   bool mProbing = false; ///< A connection ended during a request.
   once::crash_detector mCrashDetector;
   model::instant mConnectionLimitUntil;
+  model::instant mOverLimitUntil;
+  int mOverLimitPriority = 0; ///< Of the most urgent request that is refused.
   /** Set when the leaf closes an idle connection. */
   model::instant mPreconnectFrom;
   std::vector<std::unique_ptr<leaf_connection>> mConnections;
--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -6,11 +6,13 @@
 
 #include "gateway/event_loop_base.h"
 #include "gateway/leaf_table_base.h"
+#include "gateway/permit_client_base.h"
 #include "gateway/request_head_func.h"
 #include "model/time_func.h"
 #include "serving/shard_omission_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace monsooncroft::gateway {
 
@@ -60,8 +62,9 @@
     return;
   }
   mSelf = self;
+  HoldForPermits(now);
   for (std::size_t index = 0; index < mShards.size() && !mDone; ++index) {
-    if (!mShards[index].mFailed) {
+    if (!mShards[index].mFailed && !mShards[index].mHeld) {
       StartAttempt(index, now);
     }
   }
@@ -80,6 +83,12 @@
     const leaf_endpoint* leaf = ChooseLeaf(index, false, aNow);
     unreachable +=
       leaf == nullptr || leaf->Load().IsKnownUnreachable(aNow) ? 1 : 0;
+    if (leaf == nullptr && IsOverLimit(index, aNow)) {
+      mReturnDelay =
+        std::max(mReturnDelay,
+                 mContext.mPermits.ReturnDelay(
+                   mPlan.mServices[index], mPlan.mRoute->mPriority, aNow));
+    }
     expected.push_back(leaf == nullptr ? model::duration::max()
                                        : leaf->Load().ExpectedLatency(
                                            mPlan.mLatency->Mean(), aNow));
@@ -141,7 +150,7 @@
     bool any = false;
     for (std::size_t index = 0; index < leaves.size(); ++index) {
       const leaf_endpoint& leaf = *leaves[index];
-      if (leaf.AcceptsWork(aNow) && aFilter(leaf)) {
+      if (leaf.AcceptsRequest(mPlan.mRoute->mPriority, aNow) && aFilter(leaf)) {
         candidates[index] = &leaf.Load();
         any = any || !leaf.Load().InConnectBackoff(aNow);
       }
@@ -167,17 +176,105 @@
 query_execution::StartAttempt(std::size_t aShardIndex, model::instant aNow)
 {
   leaf_endpoint* leaf = ChooseLeaf(aShardIndex, false, aNow);
+  if (leaf == nullptr && IsOverLimit(aShardIndex, aNow)) {
+    mReturnDelay =
+      std::max(mReturnDelay,
+               mContext.mPermits.ReturnDelay(
+                 mPlan.mServices[aShardIndex], mPlan.mRoute->mPriority, aNow));
+    FailShard(aShardIndex, aNow);
+    return false;
+  }
   if (leaf == nullptr || leaf->Load().InConnectBackoff(aNow)) {
     mShards[aShardIndex].mHedgeAt = aNow + mContext.mSettings.mLeafRetryDelay;
     return false;
   }
-  SendAttempt(aShardIndex, *leaf, aNow);
+  SendAttempt(aShardIndex, *leaf, false, aNow);
   return true;
 }
 
+bool
+query_execution::IsOverLimit(std::size_t aShardIndex, model::instant aNow) const
+{
+  const int priority = mPlan.mRoute->mPriority;
+  bool overLimit = false;
+  for (const leaf_endpoint_ptr& leaf :
+       mContext.mLeaves.LeavesOf(mPlan.mServices[aShardIndex])) {
+    if (leaf->AcceptsRequest(priority, aNow)) {
+      return false;
+    }
+    overLimit = overLimit || leaf->OverLimitUntil(priority, aNow);
+  }
+  return overLimit;
+}
+
+void
+query_execution::HoldForPermits(model::instant aNow)
+{
+  std::vector<std::size_t> unlimited;
+  for (std::size_t index = 0; index < mShards.size(); ++index) {
+    const leaf_endpoint* leaf =
+      mShards[index].mFailed ? nullptr : ChooseLeaf(index, false, aNow);
+    if (leaf != nullptr && !mContext.mPermits.IsLimited(leaf->Entry().mId)) {
+      unlimited.push_back(index);
+    }
+  }
+  if (unlimited.size() >= mRequirements.mRequiredShards) {
+    return;
+  }
+  for (const std::size_t index : unlimited) {
+    mShards[index].mHeld = true;
+    mShards[index].mHedgeAt = mRequirements.mDeadline;
+  }
+}
+
+void
+query_execution::SendHeldShards(model::instant aNow)
+{
+  // The decisions on the other permits follow.
+  if (std::any_of(mShards.begin(), mShards.end(), [](const auto& aShard) {
+        return aShard.mAwaitsPermit;
+      })) {
+    return;
+  }
+  for (std::size_t index = 0; index < mShards.size() && !mDone; ++index) {
+    if (std::exchange(mShards[index].mHeld, false)) {
+      StartAttempt(index, aNow);
+    }
+  }
+}
+
+void
+query_execution::OnAttemptAdmitted(leaf_attempt& aAttempt)
+{
+  const model::instant now = event_loop::Now();
+  shard_state& shard = mShards[aAttempt.mShardIndex];
+  if (std::exchange(shard.mAwaitsPermit, false)) {
+    if (const leaf_endpoint* leaf = mContext.mLeaves.Find(aAttempt.mLeafId)) {
+      shard.mHedgeAt = now + HedgeDelay(*leaf, now);
+    }
+  }
+  SendHeldShards(now);
+  if (!mDone) {
+    ScheduleWake(now);
+  }
+}
+
+std::size_t
+query_execution::RequiredPermits() const
+{
+  const auto secured = static_cast<std::size_t>(
+    std::count_if(mShards.begin(), mShards.end(), [](const auto& aShard) {
+      const bool sent = !aShard.mOutstanding.empty() && !aShard.mAwaitsPermit;
+      return !aShard.mFailed && (aShard.mAnswered || aShard.mHeld || sent);
+    }));
+  return mRequirements.mRequiredShards -
+         std::min(secured, mRequirements.mRequiredShards);
+}
+
 void
 query_execution::SendAttempt(std::size_t aShardIndex,
                              leaf_endpoint& aLeaf,
+                             bool aIsHedge,
                              model::instant aNow)
 {
   shard_state& shard = mShards[aShardIndex];
@@ -194,7 +291,19 @@
   shard.mHedgeAt = aNow + HedgeDelay(aLeaf, aNow);
   ++shard.mAttemptCount;
   ++mAttemptCount;
-  aLeaf.Submit(std::move(attempt), aNow);
+  if (!mContext.mPermits.IsLimited(aLeaf.Entry().mId)) {
+    aLeaf.Submit(std::move(attempt), aNow);
+    return;
+  }
+  if (!aIsHedge) {
+    shard.mAwaitsPermit = true;
+    shard.mHedgeAt = mRequirements.mDeadline; // Until there is a permit.
+  }
+  mContext.mPermits.Submit(
+    std::move(attempt),
+    { mPlan.mConfig->GroupOf(mPlan.mServices[aShardIndex]),
+      mPlan.mRoute->mPriority,
+      aIsHedge });
 }
 
 model::duration
@@ -227,6 +336,9 @@
   std::erase_if(shard.mOutstanding, [&](const leaf_attempt_ptr& aOther) {
     return aOther.get() == &aAttempt;
   });
+  if (shard.mOutstanding.empty()) {
+    shard.mAwaitsPermit = false;
+  }
   bool mayHaveRun = false;
   switch (aResult.mEnd) {
     case attempt_end::Answered:
@@ -265,6 +377,9 @@
   if (!mDone) {
     Evaluate(now);
   }
+  if (!mDone) {
+    SendHeldShards(now);
+  }
 }
 
 void
@@ -336,7 +451,7 @@
     return;
   }
   ++mHedgeCount;
-  SendAttempt(aShardIndex, *leaf, aNow);
+  SendAttempt(aShardIndex, *leaf, true, aNow);
   shard.mHedgeAt = mRequirements.mDeadline;
 }
 
--- a/src/gateway/query_execution_answer.cpp
+++ b/src/gateway/query_execution_answer.cpp
@@ -98,7 +98,10 @@
     outcome = "not_run";
     response.mStatus = 503;
     response.mFields.push_back(
-      { "Retry-After", FormatSeconds(mContext.mSettings.mRetryAfter) });
+      { "Retry-After",
+        FormatSeconds(std::max(
+          mContext.mSettings.mRetryAfter,
+          std::chrono::ceil<std::chrono::milliseconds>(mReturnDelay))) });
   } else if (!mPlan.mRoute->IsFanOut() && mLeafFailure.mStatus != 0) {
     response = ForwardedAnswer(mLeafFailure);
   } else {
--- a/src/gateway/query_execution_base.h
+++ b/src/gateway/query_execution_base.h
@@ -42,6 +42,8 @@
                   plan aPlan);
   void Start();
   void OnAttemptEnd(leaf_attempt& aAttempt, attempt_result aResult) override;
+  void OnAttemptAdmitted(leaf_attempt& aAttempt) override;
+  std::size_t RequiredPermits() const override;
 
 private:
   /** State of one shard of a fan-out, or of the only service. */
@@ -54,6 +56,9 @@
     bool mAnswered = false;
     bool mFailed = false;  ///< No further attempt is made.
     bool mOmitted = false; ///< Not sent, because its answer would be late.
+    bool mHeld = false;    ///< Not sent before the other shards have permits.
+    /** The only outstanding attempt waits for a permit. */
+    bool mAwaitsPermit = false;
     /** Expected latency when the shard was omitted. */
     model::duration mExpectedLatency{ 0 };
     model::instant mHedgeAt;
@@ -63,10 +68,16 @@
   /** @return Number of shards without a reachable leaf. */
   std::size_t OmitLateShards(model::instant aNow);
   bool RestoreOmittedShard(model::instant aNow);
+  /** Holds the shards that need no permit if too few of them could answer. */
+  void HoldForPermits(model::instant aNow);
+  void SendHeldShards(model::instant aNow);
+  /** Whether all usable leaves of a shard are over their rate limit. */
+  bool IsOverLimit(std::size_t aShardIndex, model::instant aNow) const;
   void FailShard(std::size_t aShardIndex, model::instant aNow);
   bool StartAttempt(std::size_t aShardIndex, model::instant aNow);
   void SendAttempt(std::size_t aShardIndex,
                    leaf_endpoint& aLeaf,
+                   bool aIsHedge,
                    model::instant aNow);
   bool MayRetry(std::size_t aShardIndex, bool aMayHaveRun, model::instant aNow);
   void Hedge(std::size_t aShardIndex, model::instant aNow);
@@ -102,6 +113,8 @@
   bool mMayHaveRun = false;
   bool mDone = false;
   const char* mLastReason = "";
+  /** When callers should return; 0 if no leaf is over its rate limit. */
+  model::duration mReturnDelay{ 0 };
   /** Failure answered by a leaf, forwarded if no attempt succeeds. */
   http_message mLeafFailure;
   /** Keeps this object alive until the answer. */
--- a/src/gateway/request_dispatcher_base.h
+++ b/src/gateway/request_dispatcher_base.h
@@ -26,6 +26,7 @@
 
 class event_loop;
 class leaf_table;
+class permit_client;
 
 /** Components and settings that each query_execution uses. */
 struct query_context
@@ -33,6 +34,7 @@
   event_loop& mLoop;
   const header_names& mHeaderNames;
   leaf_table& mLeaves;
+  permit_client& mPermits;
   serving::retry_budget& mRetryBudget;
   const once::quarantine& mQuarantine;
   const query_settings& mSettings;
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -103,6 +103,16 @@
 ToArray(const directory_delta& aDelta);
 json
 ToArray(const once::crash_mark& aMark);
+json
+ToArray(const leaf_limit_report& aReport);
+json
+ToArray(const permit_item& aItem);
+json
+ToArray(const permit_request& aRequest);
+json
+ToArray(const permit_decision& aDecision);
+json
+ToArray(const permit_reply& aReply);
 
 template<class T>
 json
@@ -159,6 +169,94 @@
   return out;
 }
 
+json
+ToArray(const leaf_limit_report& aReport)
+{
+  return json::array({ aReport.mLeafId,
+                       aReport.mIncarnation,
+                       aReport.mPerSecond,
+                       aReport.mAgeMs });
+}
+
+json
+ToArray(const permit_item& aItem)
+{
+  return json::array({ aItem.mLeafId, aItem.mPerSecond });
+}
+
+json
+ToArray(const permit_request& aRequest)
+{
+  return json::array({ aRequest.mId,
+                       aRequest.mServiceGroup,
+                       aRequest.mPriority,
+                       aRequest.mIsHedge,
+                       aRequest.mRequired,
+                       ToArrays(aRequest.mLeaves) });
+}
+
+permit_request
+ToPermitRequest(const json& aArray)
+{
+  permit_request request;
+  request.mId = aArray.at(0).get<std::uint64_t>();
+  request.mServiceGroup = aArray.at(1).get<std::string>();
+  request.mPriority = aArray.at(2).get<int>();
+  request.mIsHedge = aArray.at(3).get<bool>();
+  request.mRequired = aArray.at(4).get<std::size_t>();
+  for (const json& item : aArray.at(5)) {
+    request.mLeaves.push_back(
+      { item.at(0).get<std::string>(), item.at(1).get<double>() });
+  }
+  return request;
+}
+
+json
+ToArray(const permit_decision& aDecision)
+{
+  return json::array({ aDecision.mGranted, aDecision.mRetryAfter.count() });
+}
+
+json
+ToArray(const permit_reply& aReply)
+{
+  return json::array({ aReply.mId, ToArrays(aReply.mDecisions) });
+}
+
+permit_reply
+ToPermitReply(const json& aArray)
+{
+  permit_reply reply;
+  reply.mId = aArray.at(0).get<std::uint64_t>();
+  for (const json& decision : aArray.at(1)) {
+    reply.mDecisions.push_back(
+      { decision.at(0).get<bool>(),
+        std::chrono::milliseconds(decision.at(1).get<std::int64_t>()) });
+  }
+  return reply;
+}
+
+/** Decodes what instances of earlier versions do not send. */
+void
+DecodeLimits(const json& aArray, fleet_message& aMessage)
+{
+  if (aArray.size() <= 9) {
+    return;
+  }
+  for (const json& report : aArray.at(9)) {
+    aMessage.mLeafLimits.push_back({ report.at(0).get<std::string>(),
+                                     report.at(1).get<std::uint64_t>(),
+                                     report.at(2).get<double>(),
+                                     report.at(3).get<std::uint32_t>() });
+  }
+  for (const json& request : aArray.at(10)) {
+    aMessage.mPermitRequests.push_back(ToPermitRequest(request));
+  }
+  for (const json& reply : aArray.at(11)) {
+    aMessage.mPermitReplies.push_back(ToPermitReply(reply));
+  }
+}
+
 std::string
 Pack(const json& aValue)
 {
@@ -184,15 +282,22 @@
 std::string
 EncodeMessage(const fleet_message& aMessage)
 {
-  return Pack(json::array({ kFormatVersion,
-                            ToArrays(aMessage.mMembers),
-                            aMessage.mWantsReply,
-                            ToArrays(aMessage.mSuspicions),
-                            ToArrays(aMessage.mDirectoryDeltas),
-                            ToArrays(aMessage.mCrashMarks),
-                            ToArrays(aMessage.mLeafObservations),
-                            aMessage.mUnreachableDataCentres,
-                            ToArray(aMessage.mHeartbeats) }));
+  json array = json::array({ kFormatVersion,
+                             ToArrays(aMessage.mMembers),
+                             aMessage.mWantsReply,
+                             ToArrays(aMessage.mSuspicions),
+                             ToArrays(aMessage.mDirectoryDeltas),
+                             ToArrays(aMessage.mCrashMarks),
+                             ToArrays(aMessage.mLeafObservations),
+                             aMessage.mUnreachableDataCentres,
+                             ToArray(aMessage.mHeartbeats) });
+  if (!aMessage.mLeafLimits.empty() || !aMessage.mPermitRequests.empty() ||
+      !aMessage.mPermitReplies.empty()) {
+    array.push_back(ToArrays(aMessage.mLeafLimits));
+    array.push_back(ToArrays(aMessage.mPermitRequests));
+    array.push_back(ToArrays(aMessage.mPermitReplies));
+  }
+  return Pack(array);
 }
 
 std::optional<fleet_message>
@@ -244,6 +349,7 @@
           model::wall_instant(
             std::chrono::milliseconds(mark.at(3).get<std::int64_t>())) });
     }
+    DecodeLimits(*value, message);
     return message;
   } catch (const json::exception&) {
     return std::nullopt; // The caller logs the failure with the sender.
--- a/src/serving/fleet_membership.cpp
+++ b/src/serving/fleet_membership.cpp
@@ -257,6 +257,48 @@
   return rank;
 }
 
+std::optional<fleet_member>
+fleet_membership::DutyHolder(const std::string& aSalt,
+                             model::instant aNow) const
+{
+  const std::uint64_t salt = cluster::HashOf(aSalt);
+  const auto weight = [salt](const fleet_member& aMember) {
+    return cluster::RendezvousWeight(salt, cluster::HashOf(aMember.mName));
+  };
+  const fleet_member* best = nullptr;
+  std::uint64_t bestWeight = mSelf.mLeaving ? 0 : weight(mSelf);
+  ForEachMemberWithin(
+    mSettings.mFailureTimeout, aNow, [&](const fleet_member& aMember) {
+      if (!aMember.mLeaving && weight(aMember) > bestWeight) {
+        best = &aMember;
+        bestWeight = weight(aMember);
+      }
+    });
+  return best == nullptr ? std::nullopt : std::optional(*best);
+}
+
+std::size_t
+fleet_membership::KnownInstances(model::instant aNow) const
+{
+  std::size_t count = 1;
+  ForEachMemberWithin(
+    mSettings.mMaxCutPeriod, aNow, [&](const fleet_member& aMember) {
+      count += aMember.mLeaving ? 0 : 1;
+    });
+  return count;
+}
+
+std::size_t
+fleet_membership::ReachableInstances(model::instant aNow) const
+{
+  std::size_t count = 1;
+  ForEachMemberWithin(
+    mSettings.mFailureTimeout, aNow, [&](const fleet_member& aMember) {
+      count += aMember.mLeaving ? 0 : 1;
+    });
+  return count;
+}
+
 bool
 fleet_membership::IsPreferredSource(const fleet_member& aMember,
                                     const fleet_member& aOther) const
--- a/src/serving/fleet_membership_base.h
+++ b/src/serving/fleet_membership_base.h
@@ -29,6 +29,9 @@
   /** Time since its last heartbeat in which a member may still hold connections
    * and spend budget. */
   std::chrono::milliseconds mRetentionPeriod{ 15'000 };
+  /** Time since its last heartbeat after which a member that did not announce
+   * its end is taken as gone for good, not as cut off. */
+  std::chrono::milliseconds mMaxCutPeriod{ 60'000 };
 };
 
 /**
@@ -89,6 +92,19 @@
   std::size_t DutyRank(const std::string& aSalt,
                        bool aOwnDataCentre,
                        model::instant aNow) const;
+  /**
+   * The member that carries out a duty for the fleet, by rendezvous hash over
+   * the live members and this instance.
+   * @param aSalt Differs between duties.
+   * @return Nothing if this instance is the one.
+   */
+  std::optional<fleet_member> DutyHolder(const std::string& aSalt,
+                                         model::instant aNow) const;
+  /** Counts this instance and all members that may be running, also those that
+   * have been unreachable for long. */
+  std::size_t KnownInstances(model::instant aNow) const;
+  /** Counts this instance and the live members. */
+  std::size_t ReachableInstances(model::instant aNow) const;
   /** A live member with the newest configuration, preferably of the own data
    * centre; nothing if none is newer than the own one. */
   std::optional<fleet_member> MemberWithNewerConfig(model::instant aNow) const;
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -7,7 +7,9 @@
 
 #include "model/endpoint_type.h"
 #include "once/quarantine_type.h"
+#include "serving/leaf_limit_type.h"
 #include "serving/leaf_registration_type.h"
+#include "serving/permit_type.h"
 
 #include <cstdint>
 #include <optional>
@@ -75,6 +77,9 @@
   std::vector<leaf_observation> mLeafObservations;
   std::vector<std::string> mUnreachableDataCentres;
   std::vector<member_heartbeat> mHeartbeats;
+  std::vector<leaf_limit_report> mLeafLimits;
+  std::vector<permit_request> mPermitRequests; ///< For the receiver to decide.
+  std::vector<permit_reply> mPermitReplies;
 
   bool operator==(const fleet_message&) const = default;
 };
--- a/src/serving/leaf_limit_table.cpp
+++ b/src/serving/leaf_limit_table.cpp
@@ -17,6 +17,7 @@
 
 bool
 leaf_limit_table::OnAnswer(const std::string& aLeafId,
+                           std::uint64_t aIncarnation,
                            std::optional<double> aPerSecond,
                            model::instant aNow)
 {
@@ -25,12 +26,12 @@
     if (!aPerSecond) {
       return false;
     }
-    mLimits.emplace(aLeafId, observation{ aPerSecond, aNow });
+    mLimits.emplace(aLeafId, observation{ aIncarnation, aPerSecond, aNow });
     return true;
   }
   const bool changed = found->second.mPerSecond != aPerSecond;
   if (changed || aPerSecond) {
-    found->second = { aPerSecond, aNow };
+    found->second = { aIncarnation, aPerSecond, aNow };
   }
   return changed;
 }
@@ -47,14 +48,17 @@
   if (found == mLimits.end()) {
     // The end of an unknown limit is kept, too: a report of the limit itself
     // may still be on its way.
-    mLimits.emplace(aReport.mLeafId, observation{ perSecond, observedAt });
+    mLimits.emplace(aReport.mLeafId,
+                    observation{ aReport.mIncarnation, perSecond, observedAt });
     return perSecond.has_value();
   }
-  if (observedAt <= found->second.mObservedAt) {
+  if (aReport.mIncarnation < found->second.mIncarnation ||
+      (aReport.mIncarnation == found->second.mIncarnation &&
+       observedAt <= found->second.mObservedAt)) {
     return false;
   }
   const bool changed = found->second.mPerSecond != perSecond;
-  found->second = { perSecond, observedAt };
+  found->second = { aReport.mIncarnation, perSecond, observedAt };
   return changed;
 }
 
@@ -71,6 +75,7 @@
                              model::instant aNow)
 {
   return { aLeafId,
+           aObservation.mIncarnation,
            aObservation.mPerSecond.value_or(0),
            static_cast<std::uint32_t>(
              std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/serving/leaf_limit_table_base.h
+++ b/src/serving/leaf_limit_table_base.h
@@ -25,11 +25,13 @@
 public:
   /**
    * A leaf answered.
+   * @param aIncarnation Start time of the leaf, Unix ms.
    * @param aPerSecond The limit that the answer names; nothing if it names
    * none.
    * @return Whether the leaf's limit changed.
    */
   bool OnAnswer(const std::string& aLeafId,
+                std::uint64_t aIncarnation,
                 std::optional<double> aPerSecond,
                 model::instant aNow);
   /** Merges a peer's report; the more recent observation is kept.
@@ -54,6 +56,7 @@
 private:
   struct observation
   {
+    std::uint64_t mIncarnation = 0;
     std::optional<double> mPerSecond; ///< Nothing after the limit has ended.
     model::instant mObservedAt;
   };
--- a/src/serving/leaf_limit_type.h
+++ b/src/serving/leaf_limit_type.h
@@ -14,6 +14,7 @@
 struct leaf_limit_report
 {
   std::string mLeafId;
+  std::uint64_t mIncarnation = 0; ///< Start time of the leaf, Unix ms.
   /** Requests per second from all instances together; 0 if the leaf no longer
    * names a limit. */
   double mPerSecond = 0;
--- a/src/serving/routing_config.cpp
+++ b/src/serving/routing_config.cpp
@@ -39,8 +39,8 @@
     for (const weighted_service& target : each.mTargets) {
       mRoutedServices.push_back(target.mService);
     }
-    for (const std::string& shard : each.mShards) {
-      mRoutedServices.push_back(shard);
+    if (each.IsFanOut()) {
+      AddShardGroup(each.mShards);
     }
   }
   std::sort(mRoutedServices.begin(), mRoutedServices.end());
@@ -56,6 +56,24 @@
   }
 }
 
+void
+routing_config::AddShardGroup(const std::vector<std::string>& aShards)
+{
+  const std::string& first = *std::min_element(aShards.begin(), aShards.end());
+  for (const std::string& shard : aShards) {
+    mRoutedServices.push_back(shard);
+    std::string& group = mShardGroups.try_emplace(shard, first).first->second;
+    group = std::min(group, first);
+  }
+}
+
+const std::string&
+routing_config::GroupOf(const std::string& aService) const
+{
+  const auto found = mShardGroups.find(aService);
+  return found == mShardGroups.end() ? aService : found->second;
+}
+
 const route*
 routing_config::Match(std::string_view aHost, std::string_view aPath) const
 {
--- a/src/serving/routing_config_base.h
+++ b/src/serving/routing_config_base.h
@@ -48,6 +48,12 @@
   }
   /** Connection limit of one leaf; 1 for a service that is not listed. */
   int MaxConnections(const std::string& aService) const;
+  /**
+   * Group of services that requests use together: the shards of a fan-out, or
+   * a service alone.
+   * @return A service of the group, the same for all of them.
+   */
+  const std::string& GroupOf(const std::string& aService) const;
   /** Services that the routes use, sorted, without duplicates. */
   const std::vector<std::string>& RoutedServices() const
   {
@@ -56,11 +62,14 @@
 
 private:
   explicit routing_config(content aContent);
+  void AddShardGroup(const std::vector<std::string>& aShards);
 
   content mContent;
   /** Routes by host, longest prefix first. */
   std::unordered_map<std::string, std::vector<const route*>> mByHost;
   std::vector<std::string> mRoutedServices;
+  /** Group of each shard, see GroupOf(). */
+  std::unordered_map<std::string, std::string> mShardGroups;
 };
 
 using routing_config_ptr = std::shared_ptr<const routing_config>;
--- a/test/gateway/control_plane_test.cpp
+++ b/test/gateway/control_plane_test.cpp
@@ -70,6 +70,9 @@
       return std::vector<serving::leaf_suspicion>{};
     };
     hooks.mCrashMarks = [] { return std::vector<once::crash_mark>{}; };
+    hooks.mLeafLimits = [] {
+      return std::vector<serving::leaf_limit_report>{};
+    };
     return std::make_unique<control_plane>(
       mLoop,
       mStores[aIndex],
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -565,6 +565,89 @@
   EXPECT_GE(arrived, static_cast<int>(kPerSecond * seconds));
 }
 
+/** The only shard with a rate limit got no permit, a slow shard that had been
+ * left out took its place, and the shards that waited for the permit were never
+ * sent: the caller got no answer. */
+TEST_F(instance_test, ShardWithoutPermitIsReplacedByOneThatWasLeftOut)
+{
+  AddLeaf("s1", [](auto& aConnection, const auto& aRequest) {
+    aConnection.Write("HTTP/1.1 200 OK\r\nX-Id: " + *aRequest.Find("X-Id") +
+                      "\r\nX-Sig: s1\r\nX-Limit: 0.1\r\nContent-Length: "
+                      "0\r\n\r\n");
+  });
+  AddLeaf("s2", [](auto& aConnection, const auto& aRequest) {
+    aConnection.Write(OkAnswer(aRequest, "s2", kLowRecord));
+  });
+  std::vector<std::unique_ptr<loop_timer>> timers;
+  AddLeaf("s3", [&](auto& aConnection, const auto& aRequest) {
+    timers.push_back(std::make_unique<loop_timer>(
+      mLoop, [&aConnection, answer = OkAnswer(aRequest, "s3", kLowRecord)] {
+        aConnection.Write(answer);
+      }));
+    timers.back()->Start(milliseconds(320));
+  });
+  AddFanOutRoute({ "s1", "s2", "s3" }, 0.6);
+  Start();
+  for (int request = 0; request < 6; ++request) {
+    const std::string id = "r" + std::to_string(request);
+    EXPECT_EQ(SendRequest("/all/x", id).mStatus, 200) << id;
+    RunFor(milliseconds(20));
+  }
+  RunFor(milliseconds(400));
+}
+
+/** Each of several instances kept to a leaf's limit, so that the leaf got it
+ * several times over; and an instance that had got no answer of that leaf yet
+ * knew of no limit. */
+TEST_F(instance_test, LimitHoldsForAllInstancesTogether)
+{
+  constexpr int kPerSecond = 10;
+  fake_leaf& leaf =
+    AddLeaf("plain", [](auto& aConnection, const auto& aRequest) {
+      aConnection.Write(
+        "HTTP/1.1 200 OK\r\nX-Id: " + *aRequest.Find("X-Id") +
+        "\r\nX-Sig: s\r\nX-Limit: " + std::to_string(kPerSecond) +
+        "\r\nContent-Length: 1\r\n\r\nx");
+    });
+  AddSingleServiceRoute(serving::repeatability::Idempotent);
+  std::vector<instance_settings> settings;
+  for (std::uint16_t index = 0; index < 3; ++index) {
+    const auto port = static_cast<std::uint16_t>(26'400 + 3 * index);
+    settings.push_back(mSettings);
+    settings.back().mName = "other" + std::to_string(index);
+    settings.back().mCallerAddress.mPort = port;
+    settings.back().mReadinessAddress.mPort = port + 1;
+    settings.back().mPeerAddress.mPort = port + 2;
+    settings.back().mSeeds = { { "127.0.0.1", 26'402 } };
+  }
+  std::vector<std::unique_ptr<entry_instance>> instances;
+  for (const instance_settings& each : settings) {
+    instances.push_back(std::make_unique<entry_instance>(
+      mLoop, each, mStore, mLog, mMetrics, mSink));
+  }
+  RunFor(milliseconds(800)); // All know each other.
+  const auto send = [&](std::size_t aInstance, const std::string& aId) {
+    mSettings.mCallerAddress = settings[aInstance].mCallerAddress;
+    return SendRequest("/one/x", aId).mStatus;
+  };
+  ASSERT_EQ(send(0, "first"), 200);
+  RunFor(milliseconds(100));
+  const model::instant start = event_loop::Now();
+  leaf.mRequests = 0;
+  int answered = 0;
+  for (int request = 0; request < 120; ++request) {
+    // The second and the third got no answer of the leaf before.
+    answered += send(1 + request % 2, "r" + std::to_string(request)) == 200;
+    RunFor(milliseconds(5));
+  }
+  const double elapsed =
+    std::chrono::duration<double>(event_loop::Now() - start).count();
+  EXPECT_LE(leaf.mRequests, kPerSecond * (elapsed + 1));
+  EXPECT_GE(leaf.mRequests, 0.7 * kPerSecond * elapsed);
+  EXPECT_EQ(leaf.mRequests, answered);
+  instances.clear();
+}
+
 /** Versions may arrive out of order; an older version must never replace a
  * newer one. */
 TEST_F(instance_test, ConfigurationVersionNeverDecreases)
