--- a/src/gateway/leaf_endpoint.cpp
+++ b/src/gateway/leaf_endpoint.cpp
@@ -336,19 +336,19 @@
 }
 
 void
-leaf_endpoint::SetOverLimit(int aPriority, model::instant aUntil)
+leaf_endpoint::SetOverLimit(int aTargetLatencyMs, model::instant aUntil)
 {
   // aUntil is a time from now, so a past one no longer matters.
-  if (aUntil >= mOverLimitUntil || aPriority <= mOverLimitPriority) {
+  if (aUntil >= mOverLimitUntil || aTargetLatencyMs <= mOverLimitLatencyMs) {
     mOverLimitUntil = aUntil;
-    mOverLimitPriority = aPriority;
+    mOverLimitLatencyMs = aTargetLatencyMs;
   }
 }
 
 std::optional<model::instant>
-leaf_endpoint::OverLimitUntil(int aPriority, model::instant aNow) const
+leaf_endpoint::OverLimitUntil(int aTargetLatencyMs, model::instant aNow) const
 {
-  return aNow < mOverLimitUntil && aPriority >= mOverLimitPriority
+  return aNow < mOverLimitUntil && aTargetLatencyMs >= mOverLimitLatencyMs
            ? std::optional(mOverLimitUntil)
            : std::nullopt;
 }
--- a/src/gateway/leaf_endpoint_base.h
+++ b/src/gateway/leaf_endpoint_base.h
@@ -67,17 +67,17 @@
       aNow < mConnectionLimitUntil && mConnections.empty();
     return !mEntry.mDraining && !mMisdirected && !limitReached;
   }
-  /** The leaf's rate limit allows no request of this priority, or of less
+  /** The leaf's rate limit allows no request of this target latency, or of less
    * urgent ones, before that time. */
-  void SetOverLimit(int aPriority, model::instant aUntil);
-  /** Until when the leaf's rate limit allows no request of this priority;
+  void SetOverLimit(int aTargetLatencyMs, model::instant aUntil);
+  /** Until when the leaf's rate limit allows no request of this target latency;
    * nothing if it may allow one now. */
-  std::optional<model::instant> OverLimitUntil(int aPriority,
+  std::optional<model::instant> OverLimitUntil(int aTargetLatencyMs,
                                                model::instant aNow) const;
-  /** Whether a request of this priority may be submitted. */
-  bool AcceptsRequest(int aPriority, model::instant aNow) const
+  /** Whether a request of this target latency may be submitted. */
+  bool AcceptsRequest(int aTargetLatencyMs, model::instant aNow) const
   {
-    return AcceptsWork(aNow) && !OverLimitUntil(aPriority, aNow);
+    return AcceptsWork(aNow) && !OverLimitUntil(aTargetLatencyMs, aNow);
   }
   serving::leaf_health& Load() { return mLoad; }
   const serving::leaf_health& Load() const { return mLoad; }
@@ -148,7 +148,7 @@
   once::crash_detector mCrashDetector;
   model::instant mConnectionLimitUntil;
   model::instant mOverLimitUntil;
-  int mOverLimitPriority = 0; ///< Of the most urgent request that is refused.
+  int mOverLimitLatencyMs = 0; ///< Of the most urgent request that is refused.
   /** Set when the leaf closes an idle connection. */
   model::instant mPreconnectFrom;
   std::vector<std::unique_ptr<leaf_connection>> mConnections;
--- a/src/gateway/permit_client.cpp
+++ b/src/gateway/permit_client.cpp
@@ -63,7 +63,7 @@
   if (position == mCollected.end()) {
     batch started;
     started.mRequest.mServiceGroup = aTerms.mServiceGroup;
-    started.mRequest.mPriority = aTerms.mPriority;
+    started.mRequest.mTargetLatencyMs = aTerms.mTargetLatencyMs;
     started.mRequest.mIsHedge = aTerms.mIsHedge;
     position = mCollected.insert(mCollected.end(), std::move(started));
   }
@@ -166,7 +166,7 @@
     const bool granted = decision.mGranted || unlimited;
     mMetrics.Count(granted ? "permits_granted" : "permits_denied");
     if (leaf != nullptr && !granted && !aBatch.mRequest.mIsHedge) {
-      leaf->SetOverLimit(aBatch.mRequest.mPriority,
+      leaf->SetOverLimit(aBatch.mRequest.mTargetLatencyMs,
                          aNow + decision.mRetryAfter);
     }
     if (!attempt->mObserver) {
@@ -221,13 +221,13 @@
 
 model::duration
 permit_client::ReturnDelay(const std::string& aService,
-                           int aPriority,
+                           int aTargetLatencyMs,
                            model::instant aNow)
 {
   double perSecond = 0;
   std::optional<model::instant> earliest;
   for (const leaf_endpoint_ptr& leaf : mLeaves.LeavesOf(aService)) {
-    const auto until = leaf->OverLimitUntil(aPriority, aNow);
+    const auto until = leaf->OverLimitUntil(aTargetLatencyMs, aNow);
     if (until) {
       perSecond += mLimits.Limit(leaf->Entry().mId).value_or(0);
       earliest = earliest ? std::min(*earliest, *until) : *until;
--- a/src/gateway/permit_client_base.h
+++ b/src/gateway/permit_client_base.h
@@ -50,7 +50,7 @@
   struct terms
   {
     std::string mServiceGroup; ///< See routing_config::GroupOf().
-    int mPriority = 0;         ///< Of the route; 0 is served first.
+    int mTargetLatencyMs = 0;  ///< Of the route; the lowest is served first.
     bool mIsHedge = false;
   };
 
@@ -65,10 +65,10 @@
    * When a caller whose request was refused for lack of permits should return.
    * Successive callers get successive times, at this instance's share of the
    * limits.
-   * @param aPriority Of the route.
+   * @param aTargetLatencyMs Of the route.
    */
   model::duration ReturnDelay(const std::string& aService,
-                              int aPriority,
+                              int aTargetLatencyMs,
                               model::instant aNow);
 
   /** A peer asks this instance for permits. */
--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -87,7 +87,7 @@
       mReturnDelay =
         std::max(mReturnDelay,
                  mContext.mPermits.ReturnDelay(
-                   mPlan.mServices[index], mPlan.mRoute->mPriority, aNow));
+                   mPlan.mServices[index], TargetLatencyMs(), aNow));
     }
     expected.push_back(leaf == nullptr ? model::duration::max()
                                        : leaf->Load().ExpectedLatency(
@@ -150,7 +150,7 @@
     bool any = false;
     for (std::size_t index = 0; index < leaves.size(); ++index) {
       const leaf_endpoint& leaf = *leaves[index];
-      if (leaf.AcceptsRequest(mPlan.mRoute->mPriority, aNow) && aFilter(leaf)) {
+      if (leaf.AcceptsRequest(TargetLatencyMs(), aNow) && aFilter(leaf)) {
         candidates[index] = &leaf.Load();
         any = any || !leaf.Load().InConnectBackoff(aNow);
       }
@@ -180,7 +180,7 @@
     mReturnDelay =
       std::max(mReturnDelay,
                mContext.mPermits.ReturnDelay(
-                 mPlan.mServices[aShardIndex], mPlan.mRoute->mPriority, aNow));
+                 mPlan.mServices[aShardIndex], TargetLatencyMs(), aNow));
     FailShard(aShardIndex, aNow);
     return false;
   }
@@ -192,17 +192,23 @@
   return true;
 }
 
+int
+query_execution::TargetLatencyMs() const
+{
+  return static_cast<int>(mPlan.mRoute->mTargetLatency.count());
+}
+
 bool
 query_execution::IsOverLimit(std::size_t aShardIndex, model::instant aNow) const
 {
-  const int priority = mPlan.mRoute->mPriority;
+  const int latencyMs = TargetLatencyMs();
   bool overLimit = false;
   for (const leaf_endpoint_ptr& leaf :
        mContext.mLeaves.LeavesOf(mPlan.mServices[aShardIndex])) {
-    if (leaf->AcceptsRequest(priority, aNow)) {
+    if (leaf->AcceptsRequest(latencyMs, aNow)) {
       return false;
     }
-    overLimit = overLimit || leaf->OverLimitUntil(priority, aNow);
+    overLimit = overLimit || leaf->OverLimitUntil(latencyMs, aNow);
   }
   return overLimit;
 }
@@ -302,7 +308,7 @@
   mContext.mPermits.Submit(
     std::move(attempt),
     { mPlan.mConfig->GroupOf(mPlan.mServices[aShardIndex]),
-      mPlan.mRoute->mPriority,
+      TargetLatencyMs(),
       aIsHedge });
 }
 
--- a/src/gateway/query_execution_base.h
+++ b/src/gateway/query_execution_base.h
@@ -71,6 +71,8 @@
   /** Holds the shards that need no permit if too few of them could answer. */
   void HoldForPermits(model::instant aNow);
   void SendHeldShards(model::instant aNow);
+  /** The shorter the route's target latency, the more urgent its requests. */
+  int TargetLatencyMs() const;
   /** Whether all usable leaves of a shard are over their rate limit. */
   bool IsOverLimit(std::size_t aShardIndex, model::instant aNow) const;
   void FailShard(std::size_t aShardIndex, model::instant aNow);
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -189,7 +189,7 @@
 {
   return json::array({ aRequest.mId,
                        aRequest.mServiceGroup,
-                       aRequest.mPriority,
+                       aRequest.mTargetLatencyMs,
                        aRequest.mIsHedge,
                        aRequest.mRequired,
                        ToArrays(aRequest.mLeaves) });
@@ -201,7 +201,7 @@
   permit_request request;
   request.mId = aArray.at(0).get<std::uint64_t>();
   request.mServiceGroup = aArray.at(1).get<std::string>();
-  request.mPriority = aArray.at(2).get<int>();
+  request.mTargetLatencyMs = aArray.at(2).get<int>();
   request.mIsHedge = aArray.at(3).get<bool>();
   request.mRequired = aArray.at(4).get<std::size_t>();
   for (const json& item : aArray.at(5)) {
--- a/src/serving/permit_issuer.cpp
+++ b/src/serving/permit_issuer.cpp
@@ -35,12 +35,12 @@
   aLeaf.mBucket.Advance(rate, 1 + burst, aNow);
   aLeaf.mLastRequest = aNow;
   if (aNow >= aLeaf.mUrgentUntil ||
-      aRequest.mPriority <= aLeaf.mUrgentPriority) {
-    aLeaf.mUrgentPriority = aRequest.mPriority;
+      aRequest.mTargetLatencyMs <= aLeaf.mUrgentLatencyMs) {
+    aLeaf.mUrgentLatencyMs = aRequest.mTargetLatencyMs;
     aLeaf.mUrgentUntil = aNow + kUrgentMemory;
   }
   const bool mayTakeLast =
-    aRequest.mPriority <= aLeaf.mUrgentPriority && !aRequest.mIsHedge;
+    aRequest.mTargetLatencyMs <= aLeaf.mUrgentLatencyMs && !aRequest.mIsHedge;
   return mayTakeLast ? 1 : 1 + burst * kUrgentShare;
 }
 
--- a/src/serving/permit_issuer_base.h
+++ b/src/serving/permit_issuer_base.h
@@ -47,7 +47,7 @@
 
     token_bucket mBucket;
     model::instant mLastRequest{};
-    int mUrgentPriority = 0;       ///< Most urgent of the recent requests.
+    int mUrgentLatencyMs = 0;      ///< Most urgent of the recent requests.
     model::instant mUrgentUntil{}; ///< Until then it counts as recent.
   };
 
--- a/src/serving/permit_type.h
+++ b/src/serving/permit_type.h
@@ -26,7 +26,7 @@
 {
   std::uint64_t mId = 0;     ///< Number of the request; repeated in the reply.
   std::string mServiceGroup; ///< See routing_config::GroupOf().
-  int mPriority = 0;         ///< Of the route; 0 is served first.
+  int mTargetLatencyMs = 0;  ///< Of the route; the lowest is served first.
   /** A hedge: the query has another attempt running. */
   bool mIsHedge = false;
   /** Permits without which the query fails, so that fewer are of no use. */
--- a/test/serving/fleet_limit_test.cpp
+++ b/test/serving/fleet_limit_test.cpp
@@ -124,16 +124,16 @@
   int patientGranted = 0;
   for (int request = 0; request < 2'000; ++request) {
     permit_request asked;
-    asked.mPriority = random() % 4 == 0 ? 0 : 1;
+    asked.mTargetLatencyMs = random() % 4 == 0 ? 0 : 1;
     asked.mRequired = 1;
     asked.mLeaves = { { "leaf", 20 } };
     const bool granted =
       issuer.Decide(asked, 1, kStart + milliseconds(20 * request))
         .front()
         .mGranted;
-    urgentAsked += asked.mPriority == 0 ? 1 : 0;
-    urgentGranted += granted && asked.mPriority == 0 ? 1 : 0;
-    patientGranted += granted && asked.mPriority == 1 ? 1 : 0;
+    urgentAsked += asked.mTargetLatencyMs == 0 ? 1 : 0;
+    urgentGranted += granted && asked.mTargetLatencyMs == 0 ? 1 : 0;
+    patientGranted += granted && asked.mTargetLatencyMs == 1 ? 1 : 0;
   }
   EXPECT_GE(urgentGranted, 0.97 * urgentAsked);
   EXPECT_GE(patientGranted, 100);
