A leaf that is added and removed between two updates is gone

Cause: the changes that a directory hands to the rest of the instance held such a leaf in both lists. Removals are applied first, so that the change brought it back, for good. Class: two lists that lose the order of events.

Change: a removal takes the leaf out of the pending changes.

Test: LeafDirectory.ALeafThatComesAndGoesAtOnceIsNoChange failed before.

--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -73,6 +73,10 @@
       return false;
     }
     mLeaves.erase(found);
+    // Receivers apply removals first.
+    std::erase_if(
+      mPendingChanges.mChangedLeaves,
+      [&](const leaf_registration& aLeaf) { return aLeaf.mId == aId; });
     mPendingChanges.mRemovedIds.push_back(aId);
   }
   // Also for a leaf that was not known: peers may know it.
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -63,7 +63,8 @@
    * no registration is missing. */
   std::optional<directory_delta> RemoveMissing(model::instant aNow);
 
-  /** Registrations changed and removed since the last call of TakeChanges. */
+  /** Registrations changed and removed since the last call of TakeChanges. The
+   * removals come before the changes. */
   struct changes
   {
     std::vector<leaf_registration> mChangedLeaves;
--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -285,6 +285,18 @@
   EXPECT_EQ(peer.Size(), 1U);
 }
 
+/** A leaf that is added and removed between two calls is gone; otherwise
+ * requests would be sent to it for good. */
+TEST(LeafDirectory, ALeafThatComesAndGoesAtOnceIsNoChange)
+{
+  leaf_directory directory;
+  directory.OnSnapshot({ 10, { Leaf("a", 1) } }, kStart);
+  directory.TakeChanges();
+  directory.OnWatch({ 10, 11, { Leaf("b", 11) }, {} }, kStart);
+  directory.OnWatch({ 11, 12, {}, { "b" } }, kStart);
+  EXPECT_TRUE(directory.TakeChanges().mChangedLeaves.empty());
+}
+
 TEST(LeafDirectory, HeartbeatsAreNotReportedAsChanges)
 {
   leaf_directory directory;
