Reads of the registrations that bring nothing newer are made at a growing interval

Cause: a read whose revision is lower than the known one is not counted as complete, so that the next one is due at the next tick; a fresh read had no pause at all. Class: a retry without a delay, because the failure is not an error of the call.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -328,6 +328,7 @@
   bool aMayBeStale)
 {
   const auto* error = std::get_if<store_error>(&aResult);
+  const model::duration retryDelay = mDirectoryCall.mRetryDelay;
   OnCallDone(mDirectoryCall,
              "directory",
              error == nullptr ? std::nullopt : std::optional(*error));
@@ -348,6 +349,9 @@
   if (aMayBeStale) {
     mFreshReadsUntil = now + kFreshReadPeriod;
     ReadDirectoryNow(now);
+  } else {
+    mDirectoryCall.mRetryDelay = retryDelay;
+    ScheduleRetry(mDirectoryCall, now);
   }
 }
 
--- a/test/gateway/control_plane_test.cpp
+++ b/test/gateway/control_plane_test.cpp
@@ -173,5 +173,22 @@
   EXPECT_LE(StoreCalls() - callsBefore, 2 * kDrainBound.count());
 }
 
+/** A store that went back without telling it answers with lower revisions, also
+ * to fresh reads. All instances read it again and again without a pause. */
+TEST_F(control_plane_test, OldAnswersDoNotCauseAStormOfReads)
+{
+  Register(1);
+  RunUntil([&] { return AllKnow(1, false); }, seconds(10));
+  ASSERT_TRUE(AllKnow(1, false));
+  RunUntil([] { return false; }, seconds(1));
+  for (fake_store& store : mStores) {
+    store.mRevision = 1;
+  }
+  const int callsBefore = StoreCalls();
+  RunUntil([] { return false; }, seconds(6));
+  // A cheap and a fresh read a second by each instance, when all take over.
+  EXPECT_LE(StoreCalls() - callsBefore, 6 * 2 * static_cast<int>(kInstances));
+}
+
 } // namespace
 } // namespace monsooncroft::gateway
