After an outage of the store, most instances pull what the first one has read

Seen: after a restore with 2 s without the store, 66 of 73 instances of grown rakan read all registrations themselves within half a second, although they had heard from a peer that it had them.

Cause: from the fifth on, all instances take over the reads at the same age of the registrations, and an instance that is about to pull them reads the store as well. Class: a takeover by all at once.

Change: each rank waits 10 ms longer, so that the first one to read tells the others before their turn; an instance that knows of a peer with newer registrations tries to pull them for 600 ms before it reads the store.

Test: control_plane_test.AfterAnOutageInstancesPullWhatAPeerHasRead: 17 of 24 instances read the store before, 12 are allowed.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -30,6 +30,13 @@
 /** Time for which an instance waits for changes on their way to it before it
  * pulls them from a peer. */
 constexpr std::chrono::milliseconds kPullDelay{ 150 };
+/** Added to the period of reads per rank, up to a rank. Datagrams arrive within
+ * it or a few of it. */
+constexpr std::chrono::milliseconds kRankSpread{ 10 };
+constexpr std::size_t kMaxSpreadRanks = 100;
+/** Time for which an instance tries to pull changes from peers that have them
+ * before it reads the store: after an outage, all instances would read it. */
+constexpr std::chrono::milliseconds kPullPatience{ 600 };
 
 } // namespace
 
@@ -271,16 +278,23 @@
   if (aNow - *complete < mSettings.mDirectoryPeriod) {
     return false; // For all ranks.
   }
-  const std::size_t rank =
-    std::min(mFleet.DutyRank("directory", false, aNow), mSettings.mMaxStaggers);
-  const auto period = mSettings.mDirectoryPeriod +
-                      static_cast<int>(rank) * mSettings.mDirectoryStagger;
-  return aNow - *complete >= period;
+  const std::size_t rank = mFleet.DutyRank("directory", false, aNow);
+  if (rank > 0 && mDirectoryBehindSince &&
+      aNow - *mDirectoryBehindSince < kPullPatience) {
+    return false;
+  }
+  const auto staggers =
+    static_cast<int>(std::min(rank, mSettings.mMaxStaggers));
+  // After an outage, the first one to read tells the others before their turn.
+  const auto spread = static_cast<int>(rank % kMaxSpreadRanks) * kRankSpread;
+  return aNow - *complete >= mSettings.mDirectoryPeriod +
+                               staggers * mSettings.mDirectoryStagger + spread;
 }
 
 void
 control_plane::PollDirectory(model::instant aNow)
 {
+  PullDirectory(aNow);
   if (!mDirectoryCall.mBusy && aNow >= mDirectoryCall.mNextCall &&
       DirectoryDue(aNow)) {
     ReadDirectoryNow(aNow);
@@ -289,7 +303,6 @@
   if (const auto delta = mDirectory.RemoveMissing(aNow)) {
     SendDirectoryDelta(*delta, aNow);
   }
-  PullDirectory(aNow);
 }
 
 void
--- a/test/gateway/control_plane_test.cpp
+++ b/test/gateway/control_plane_test.cpp
@@ -190,5 +190,27 @@
   EXPECT_LE(StoreCalls() - callsBefore, 6 * 2 * static_cast<int>(kInstances));
 }
 
+/** After an outage every instance read all registrations, although the first
+ * one to do so had told the others that it has them. */
+TEST_F(control_plane_test, AfterAnOutageInstancesPullWhatAPeerHasRead)
+{
+  Register(2);
+  RunUntil([&] { return AllKnow(2, false); }, seconds(10));
+  ASSERT_TRUE(AllKnow(2, false));
+  RunUntil([] { return false; }, seconds(2));
+  for (fake_store& store : mStores) {
+    store.mDown = true;
+  }
+  RunUntil([] { return false; }, milliseconds(2'200));
+  Drain();
+  for (fake_store& store : mStores) {
+    store.mDown = false;
+  }
+  const int callsBefore = StoreCalls();
+  RunUntil([&] { return AllKnow(2, true); }, kDrainBound);
+  EXPECT_TRUE(AllKnow(2, true));
+  EXPECT_LE(StoreCalls() - callsBefore, static_cast<int>(kInstances) / 2);
+}
+
 } // namespace
 } // namespace monsooncroft::gateway
