Peers are told which leaves are missing in the store

Cause: after an outage, the reader keeps missing leaves for the re-registration period, and their removal had no revision of its own. So the reader did not count its changes as complete for anybody, and every instance had to read the store itself, also one that cannot reach it. Class: a state that is kept but not told.

Change: the changes that instances send name the leaves that are missing. Each instance removes them itself at the end of its period, and nobody has to send that. An instance that does not know what was removed since a peer's revision sends the peer all registrations, to be replaced, in place of changes that cannot be complete. An instance of an earlier version among new ones may keep a leaf that left during an outage until it is replaced itself.

Tests: two tests stated the former limits and state the stricter outcome now. PeersOfAReaderThatKeepsMissingLeavesRemoveThemThemselves (was: AReaderThatKeepsMissingLeavesDoesNotClaimToBeComplete) asked that the peers stay at revision 10; now they, a starting and a pulling instance reach 14 and lose the leaf without a further message. AYoungDirectoryDoesNotCloseAnOlderGap still asks that its delta is not complete; a pull now closes the gap, with the removed leaf gone. KeepsMissingLeavesForTheReregistrationPeriod looks at the removal itself, not at its message.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -300,9 +300,8 @@
     ReadDirectoryNow(aNow);
   }
   WatchDirectory(aNow);
-  if (const auto delta = mDirectory.RemoveMissing(aNow)) {
-    SendDirectoryDelta(*delta, aNow);
-  }
+  mDirectory.RemoveMissing(aNow);
+  ApplyLeaves();
 }
 
 void
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -140,7 +140,8 @@
   return json::array({ aDelta.mBaseRevision,
                        aDelta.mRevision,
                        ToArrays(aDelta.mChangedLeaves),
-                       aDelta.mRemovedIds });
+                       aDelta.mRemovedIds,
+                       aDelta.mMissingIds });
 }
 
 directory_delta
@@ -153,6 +154,10 @@
     delta.mChangedLeaves.push_back(ToLeaf(leaf));
   }
   delta.mRemovedIds = aArray.at(3).get<std::vector<std::string>>();
+  // Instances of earlier versions do not send it.
+  if (aArray.size() > 4) {
+    delta.mMissingIds = aArray.at(4).get<std::vector<std::string>>();
+  }
   return delta;
 }
 
@@ -390,7 +395,8 @@
       ToArrays(aSnapshot.mDirectory.mChangedLeaves),
       aSnapshot.mDirectory.mBaseRevision,
       aSnapshot.mDirectory.mRemovedIds,
-      aSnapshot.mCompleteAgeMs ? json(*aSnapshot.mCompleteAgeMs) : json() }));
+      aSnapshot.mCompleteAgeMs ? json(*aSnapshot.mCompleteAgeMs) : json(),
+      aSnapshot.mDirectory.mMissingIds }));
 }
 
 std::optional<fleet_snapshot>
@@ -415,6 +421,11 @@
     if (!value->at(8).is_null()) {
       snapshot.mCompleteAgeMs = value->at(8).get<std::uint32_t>();
     }
+    // Instances of earlier versions do not send it.
+    if (value->size() > 9) {
+      snapshot.mDirectory.mMissingIds =
+        value->at(9).get<std::vector<std::string>>();
+    }
     return snapshot;
   } catch (const json::exception&) {
     return std::nullopt; // The caller logs the failure with the sender.
--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -20,6 +20,12 @@
 void
 leaf_directory::Put(const leaf_registration& aLeaf, std::uint64_t aSeenAt)
 {
+  const auto missing = mMissingRevisions.find(aLeaf.mId);
+  const bool returned =
+    missing != mMissingRevisions.end() && missing->second <= aSeenAt;
+  if (returned) {
+    mMissingRevisions.erase(missing);
+  }
   const auto removed = mRemovedRevisions.find(aLeaf.mId);
   if (removed != mRemovedRevisions.end()) {
     // A registration that expired in an outage of the store may return with its
@@ -32,6 +38,9 @@
   const auto [place, inserted] =
     mLeaves.try_emplace(aLeaf.mId, known_leaf{ aLeaf, aSeenAt });
   if (!inserted) {
+    if (returned) {
+      place->second.mSeenAt = aSeenAt; // Peers know the leaf as missing.
+    }
     const leaf_registration& known = place->second.mRegistration;
     if (known.mRevision >= aLeaf.mRevision) {
       return;
@@ -60,7 +69,7 @@
 leaf_directory::OnStoreRead(model::instant aNow)
 {
   const bool keepMissing = UpdateReregistrationPeriod(aNow);
-  mLastReadTime = aNow;
+  mLastReadTime = std::max(mLastReadTime.value_or(aNow), aNow);
   return keepMissing;
 }
 
@@ -95,6 +104,18 @@
   return true;
 }
 
+void
+leaf_directory::OnMissing(const std::string& aId,
+                          std::uint64_t aRevision,
+                          bool aKeep)
+{
+  if (aKeep) {
+    mMissingRevisions[aId] = aRevision;
+  } else {
+    Remove(aId, aRevision);
+  }
+}
+
 std::optional<directory_delta>
 leaf_directory::OnSnapshot(const directory_snapshot& aSnapshot,
                            model::instant aNow)
@@ -110,7 +131,6 @@
   std::set<std::string> present;
   for (const leaf_registration& leaf : aSnapshot.mLeaves) {
     present.insert(leaf.mId);
-    mMissingRevisions.erase(leaf.mId);
     Put(leaf, aSnapshot.mRevision);
   }
   std::vector<std::string> missing;
@@ -120,17 +140,10 @@
     }
   }
   for (const std::string& id : missing) {
-    if (keepMissing) {
-      mMissingRevisions[id] = aSnapshot.mRevision;
-    } else {
-      Remove(id, aSnapshot.mRevision);
-    }
+    OnMissing(id, aSnapshot.mRevision, keepMissing);
   }
   mRevision = aSnapshot.mRevision;
-  mLastCompleteTime = aNow;
-  if (!mMissingRevisions.empty()) {
-    mHistoryStart = mRevision;
-  }
+  mLastCompleteTime = std::max(mLastCompleteTime.value_or(aNow), aNow);
   return ChangesSince(base);
 }
 
@@ -140,38 +153,26 @@
   const bool keepMissing = OnStoreRead(aNow);
   const std::uint64_t base = mRevision;
   for (const leaf_registration& leaf : aChanges.mChangedLeaves) {
-    mMissingRevisions.erase(leaf.mId);
     Put(leaf, aChanges.mRevision);
   }
   for (const std::string& id : aChanges.mRemovedIds) {
-    if (keepMissing) {
-      mMissingRevisions[id] = aChanges.mRevision;
-    } else {
-      Remove(id, aChanges.mRevision);
-    }
+    OnMissing(id, aChanges.mRevision, keepMissing);
   }
   mRevision = std::max(mRevision, aChanges.mRevision);
   mLastCompleteTime = aNow;
-  if (!mMissingRevisions.empty()) {
-    mHistoryStart = mRevision;
-  }
   return ChangesSince(base);
 }
 
-std::optional<directory_delta>
+void
 leaf_directory::RemoveMissing(model::instant aNow)
 {
   if (mMissingRevisions.empty() || UpdateReregistrationPeriod(aNow)) {
-    return std::nullopt;
+    return;
   }
-  directory_delta delta{ mRevision, mRevision, {}, {} };
   for (const auto& [id, revision] : mMissingRevisions) {
-    if (Remove(id, revision)) {
-      delta.mRemovedIds.push_back(id);
-    }
+    Remove(id, revision);
   }
   mMissingRevisions.clear();
-  return delta;
 }
 
 void
@@ -183,6 +184,9 @@
   for (const std::string& id : aDelta.mRemovedIds) {
     Remove(id, aDelta.mRevision);
   }
+  for (const std::string& id : aDelta.mMissingIds) {
+    mMissingRevisions[id] = aDelta.mRevision; // Also if unknown: peers ask.
+  }
 }
 
 bool
@@ -191,19 +195,39 @@
   if (aDelta.mBaseRevision > mRevision) {
     return false;
   }
-  if (mRevision == 0) {
-    mHistoryStart = aDelta.mRevision;
-  }
   mRevision = std::max(mRevision, aDelta.mRevision);
   return true;
 }
 
+bool
+leaf_directory::Replace(const directory_delta& aDelta, model::instant aReadAt)
+{
+  if (aDelta.mBaseRevision != 0) {
+    return false;
+  }
+  directory_snapshot snapshot{ aDelta.mRevision, aDelta.mChangedLeaves };
+  std::erase_if(snapshot.mLeaves, [&](const leaf_registration& aLeaf) {
+    return mRemovedRevisions.contains(aLeaf.mId) &&
+           std::find(aDelta.mMissingIds.begin(),
+                     aDelta.mMissingIds.end(),
+                     aLeaf.mId) != aDelta.mMissingIds.end();
+  });
+  OnSnapshot(snapshot, aReadAt);
+  for (const std::string& id : aDelta.mMissingIds) {
+    mMissingRevisions[id] = aDelta.mRevision;
+  }
+  return true;
+}
+
 bool
 leaf_directory::OnDelta(const directory_delta& aDelta, model::instant aNow)
 {
   if (IsOutdated(aDelta)) {
     return true;
   }
+  if (Replace(aDelta, aNow)) {
+    return true;
+  }
   ApplyDelta(aDelta);
   // A peer may be the first to reach the store after an outage.
   OnStoreRead(aNow);
@@ -221,6 +245,9 @@
   if (IsOutdated(aDelta)) {
     return true;
   }
+  if (aCompleteAt && Replace(aDelta, *aCompleteAt)) {
+    return true;
+  }
   ApplyDelta(aDelta);
   if (aCompleteAt && (!mLastReadTime || *aCompleteAt > *mLastReadTime)) {
     OnStoreRead(*aCompleteAt);
@@ -239,13 +266,15 @@
 leaf_directory::ChangesSince(std::uint64_t aRevision) const
 {
   directory_delta delta;
-  // A peer that knows no leaf needs no removals, but must not learn of leaves
-  // whose removal is yet to come as if they were complete.
-  const bool knowsAll = aRevision == 0 && mMissingRevisions.empty();
-  delta.mBaseRevision = knowsAll ? 0 : std::max(aRevision, mHistoryStart);
+  const bool knowsRemovals = aRevision >= mHistoryStart;
+  delta.mBaseRevision = knowsRemovals ? aRevision : 0;
   delta.mRevision = mRevision;
   for (const auto& [id, leaf] : mLeaves) {
-    if (leaf.mSeenAt > aRevision) {
+    // A peer that has removed a missing leaf must not get it back.
+    if (aRevision != 0 && mMissingRevisions.contains(id)) {
+      continue;
+    }
+    if (!knowsRemovals || leaf.mSeenAt > aRevision) {
       delta.mChangedLeaves.push_back(leaf.mRegistration);
     }
   }
@@ -254,6 +283,9 @@
       delta.mRemovedIds.push_back(id);
     }
   }
+  for (const auto& [id, revision] : mMissingRevisions) {
+    delta.mMissingIds.push_back(id);
+  }
   return delta;
 }
 
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -51,17 +51,15 @@
   bool OnPulledChanges(const directory_delta& aDelta,
                        std::optional<model::instant> aCompleteAt);
   /** Changes for a peer that knows all changes up to aRevision; 0 if it knows
-   * none. Their base revision is above aRevision if this directory began later
-   * and does not know what was removed before. */
+   * none. If this directory does not know what was removed since, because it
+   * began later, these are all registrations, with base revision 0. */
   directory_delta ChangesSince(std::uint64_t aRevision) const;
   /** Merges changes from a watch on the store.
    * @return Changes to send to peers. */
   directory_delta OnWatch(const directory_delta& aChanges, model::instant aNow);
   /** Removes registrations that are still missing after the re-registration
-   * period.
-   * @return Changes to send to peers; nothing while the period is running or if
-   * no registration is missing. */
-  std::optional<directory_delta> RemoveMissing(model::instant aNow);
+   * period. Peers know them too and do the same. */
+  void RemoveMissing(model::instant aNow);
 
   /** Registrations changed and removed since the last call of TakeChanges. The
    * removals come before the changes. */
@@ -96,6 +94,8 @@
    * @return Whether the period is running, so that missing registrations are
    * kept. */
   bool UpdateReregistrationPeriod(model::instant aNow);
+  /** Keeps or removes a leaf that the store does not list at a revision. */
+  void OnMissing(const std::string& aId, std::uint64_t aRevision, bool aKeep);
   /** Removes a registration and remembers the removal.
    * @return Whether no newer registration is known. */
   bool Remove(const std::string& aId, std::uint64_t aRevision);
@@ -110,6 +110,9 @@
   /** Advances the revision after a delta was applied.
    * @return Whether all changes up to the delta's revision are known. */
   bool AdvanceTo(const directory_delta& aDelta);
+  /** Replaces what is known by a delta that consists of all registrations.
+   * @return Whether the delta does. */
+  bool Replace(const directory_delta& aDelta, model::instant aReadAt);
 
   struct known_leaf
   {
@@ -128,8 +131,7 @@
    * store revision at which each was absent. */
   std::map<std::string, std::uint64_t> mMissingRevisions;
   std::uint64_t mRevision = 0;
-  /** Removals since this store revision are remembered. Those of leaves that
-   * are kept although they are missing are yet to come. */
+  /** Removals since this store revision are remembered. */
   std::uint64_t mHistoryStart = 0;
   std::optional<model::instant> mLastCompleteTime;
   /** Last time at which this instance or, by its delta, a peer had read the
--- a/src/serving/leaf_registration_type.h
+++ b/src/serving/leaf_registration_type.h
@@ -54,6 +54,9 @@
   std::uint64_t mRevision = 0; ///< Store revision after the delta.
   std::vector<leaf_registration> mChangedLeaves;
   std::vector<std::string> mRemovedIds;
+  /** All leaves that are missing in the store at mRevision, but may register
+   * again. */
+  std::vector<std::string> mMissingIds;
 
   bool operator==(const directory_delta&) const = default;
 };
