A leaf that comes and leaves between two reads does not stay at a peer

Cause: a reader's changes claim to be complete since its revision before the read. A peer that was between the two revisions, by another reader, counted as complete, and kept a leaf that had left by then: the reader had never known it, and so had no removal to tell.

Change: changes apply to exactly the state at their base revision. A directory remembers which revisions its reads have skipped, and sends a peer that is at one of them all registrations.

Test: LeafDirectory.APeerLosesALeafThatTheReaderHasNeverKnown failed before.

--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -14,6 +14,9 @@
 /** Removed ids that are remembered; those of the lowest revisions are dropped
  * first. */
 constexpr std::size_t kMaxRemovedIds = 4'096;
+/** Ranges of skipped revisions that are remembered; the history begins after
+ * older ones. */
+constexpr std::size_t kMaxSkippedRanges = 32;
 
 } // namespace
 
@@ -142,7 +145,7 @@
   for (const std::string& id : missing) {
     OnMissing(id, aSnapshot.mRevision, keepMissing);
   }
-  mRevision = aSnapshot.mRevision;
+  SkipTo(aSnapshot.mRevision);
   mLastCompleteTime = std::max(mLastCompleteTime.value_or(aNow), aNow);
   return ChangesSince(base);
 }
@@ -189,13 +192,42 @@
   }
 }
 
+void
+leaf_directory::SkipTo(std::uint64_t aRevision)
+{
+  if (aRevision > mRevision) {
+    mSkippedRevisions.emplace_back(mRevision, aRevision);
+  }
+  if (mSkippedRevisions.size() > kMaxSkippedRanges) {
+    mHistoryStart = std::max(mHistoryStart, mSkippedRevisions.front().second);
+    mSkippedRevisions.pop_front();
+  }
+  mRevision = aRevision;
+}
+
+bool
+leaf_directory::KnowsRemovalsSince(std::uint64_t aRevision) const
+{
+  return aRevision >= mHistoryStart &&
+         std::none_of(mSkippedRevisions.begin(),
+                      mSkippedRevisions.end(),
+                      [&](const auto& aRange) {
+                        return aRevision > aRange.first &&
+                               aRevision < aRange.second;
+                      });
+}
+
 bool
 leaf_directory::AdvanceTo(const directory_delta& aDelta)
 {
-  if (aDelta.mBaseRevision > mRevision) {
+  if (aDelta.mRevision == mRevision) {
+    return true;
+  }
+  // A leaf that came after the base and has left is not in the delta.
+  if (aDelta.mBaseRevision != mRevision) {
     return false;
   }
-  mRevision = std::max(mRevision, aDelta.mRevision);
+  mRevision = aDelta.mRevision;
   return true;
 }
 
@@ -266,7 +298,7 @@
 leaf_directory::ChangesSince(std::uint64_t aRevision) const
 {
   directory_delta delta;
-  const bool knowsRemovals = aRevision >= mHistoryStart;
+  const bool knowsRemovals = KnowsRemovalsSince(aRevision);
   delta.mBaseRevision = knowsRemovals ? aRevision : 0;
   delta.mRevision = mRevision;
   for (const auto& [id, leaf] : mLeaves) {
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -7,8 +7,10 @@
 
 #include "serving/leaf_registration_type.h"
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace monsooncroft::serving {
 
@@ -107,6 +109,10 @@
   }
   /** Applies the content of a delta. */
   void ApplyDelta(const directory_delta& aDelta);
+  /** Advances the revision after a snapshot was applied. */
+  void SkipTo(std::uint64_t aRevision);
+  /** Whether all removals since a revision are known. */
+  bool KnowsRemovalsSince(std::uint64_t aRevision) const;
   /** Advances the revision after a delta was applied.
    * @return Whether all changes up to the delta's revision are known. */
   bool AdvanceTo(const directory_delta& aDelta);
@@ -133,6 +139,9 @@
   std::uint64_t mRevision = 0;
   /** Removals since this store revision are remembered. */
   std::uint64_t mHistoryStart = 0;
+  /** Ranges that snapshots have skipped, without their ends: leaves that came
+   * and left between are not known. */
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> mSkippedRevisions;
   std::optional<model::instant> mLastCompleteTime;
   /** Last time at which this instance or, by its delta, a peer had read the
    * store; the directory may be incomplete then. */
--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -328,6 +328,26 @@
   EXPECT_TRUE(directory.TakeChanges().mChangedLeaves.empty());
 }
 
+/** A leaf comes and leaves between two reads of a reader, and a peer learns of
+ * it in between from another one. The reader knows nothing to tell of it, and
+ * the peer would keep the leaf for good. */
+TEST(LeafDirectory, APeerLosesALeafThatTheReaderHasNeverKnown)
+{
+  const directory_snapshot before{ 10, { Leaf("a", 1) } };
+  leaf_directory reader;
+  leaf_directory peer;
+  for (leaf_directory* directory : { &reader, &peer }) {
+    directory->OnSnapshot(before, kStart);
+  }
+  peer.OnDelta({ 10, 11, { Leaf("b", 11) }, {}, {} }, kStart);
+  const auto pushed = reader.OnSnapshot({ 12, before.mLeaves }, kStart);
+  EXPECT_FALSE(peer.OnDelta(*pushed, kStart));
+  EXPECT_TRUE(
+    peer.OnPulledChanges(reader.ChangesSince(peer.Revision()), kStart));
+  EXPECT_EQ(peer.Revision(), 12U);
+  EXPECT_EQ(peer.Size(), 1U);
+}
+
 TEST(LeafDirectory, HeartbeatsAreNotReportedAsChanges)
 {
   leaf_directory directory;
