A leaf known from incomplete changes does not stay after it has left

Cause: changes that an instance cannot apply as complete are applied in part, so that drains are known early. A leaf in them that had left before the complete ones came was in neither list of those: the reader had skipped it, or had never known it.

Change: after complete changes, a leaf whose registration is newer than their base and that they do not list is removed. What is passed on of such a leaf counts as seen at its own revision at least, so that complete changes do list it while it is there.

Test: LeafDirectory.ALeafKnownFromIncompleteChangesDoesNotStay failed before; ALeafKnownBeyondThePeersRevisionIsTold guards the other side of the change.

--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -23,6 +23,8 @@
 void
 leaf_directory::Put(const leaf_registration& aLeaf, std::uint64_t aSeenAt)
 {
+  // A peer may know a leaf from a change beyond its own revision.
+  aSeenAt = std::max(aSeenAt, aLeaf.mRevision);
   const auto missing = mMissingRevisions.find(aLeaf.mId);
   const bool returned =
     missing != mMissingRevisions.end() && missing->second <= aSeenAt;
@@ -227,10 +229,32 @@
   if (aDelta.mBaseRevision != mRevision) {
     return false;
   }
+  RemoveUnlisted(aDelta);
   mRevision = aDelta.mRevision;
   return true;
 }
 
+void
+leaf_directory::RemoveUnlisted(const directory_delta& aDelta)
+{
+  std::set<std::string> listed(aDelta.mMissingIds.begin(),
+                               aDelta.mMissingIds.end());
+  for (const leaf_registration& leaf : aDelta.mChangedLeaves) {
+    listed.insert(leaf.mId);
+  }
+  std::vector<std::string> unlisted;
+  for (const auto& [id, leaf] : mLeaves) {
+    const std::uint64_t revision = leaf.mRegistration.mRevision;
+    if (revision > aDelta.mBaseRevision && revision <= aDelta.mRevision &&
+        !listed.contains(id)) {
+      unlisted.push_back(id);
+    }
+  }
+  for (const std::string& id : unlisted) {
+    Remove(id, aDelta.mRevision);
+  }
+}
+
 bool
 leaf_directory::Replace(const directory_delta& aDelta, model::instant aReadAt)
 {
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -111,6 +111,9 @@
   void ApplyDelta(const directory_delta& aDelta);
   /** Advances the revision after a snapshot was applied. */
   void SkipTo(std::uint64_t aRevision);
+  /** Removes leaves that were known from an incomplete delta before and are not
+   * in a complete one that covers their revisions. */
+  void RemoveUnlisted(const directory_delta& aDelta);
   /** Whether all removals since a revision are known. */
   bool KnowsRemovalsSince(std::uint64_t aRevision) const;
   /** Advances the revision after a delta was applied.
--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -348,6 +348,37 @@
   EXPECT_EQ(peer.Size(), 1U);
 }
 
+/** An instance learns of a leaf from changes that it cannot apply as complete,
+ * and gets the complete ones only after the leaf has left. */
+TEST(LeafDirectory, ALeafKnownFromIncompleteChangesDoesNotStay)
+{
+  const directory_snapshot before{ 10, { Leaf("a", 1) } };
+  leaf_directory reader;
+  leaf_directory peer;
+  for (leaf_directory* directory : { &reader, &peer }) {
+    directory->OnSnapshot(before, kStart);
+  }
+  EXPECT_FALSE(peer.OnDelta({ 11, 12, { Leaf("b", 12) }, {}, {} }, kStart));
+  EXPECT_EQ(peer.Size(), 2U);
+  const auto delta = reader.OnSnapshot({ 14, before.mLeaves }, kStart);
+  EXPECT_TRUE(peer.OnDelta(*delta, kStart));
+  EXPECT_EQ(peer.Size(), 1U);
+}
+
+/** The same leaf, known to a starting instance from that peer, is told again.
+ */
+TEST(LeafDirectory, ALeafKnownBeyondThePeersRevisionIsTold)
+{
+  leaf_directory peer;
+  peer.OnSnapshot({ 10, { Leaf("a", 1) } }, kStart);
+  peer.OnDelta({ 11, 12, { Leaf("b", 12) }, {}, {} }, kStart);
+  leaf_directory starting;
+  starting.OnPulledChanges(peer.ChangesSince(0), kStart);
+  starting.OnSnapshot({ 14, { Leaf("a", 1), Leaf("b", 12) } }, kStart);
+  EXPECT_TRUE(peer.OnPulledChanges(starting.ChangesSince(10), kStart));
+  EXPECT_EQ(peer.Size(), 2U);
+}
+
 TEST(LeafDirectory, HeartbeatsAreNotReportedAsChanges)
 {
   leaf_directory directory;
