State from the store is ordered by era, then revision

Cause: revisions were compared as plain numbers. After the restore, lower ones counted as old: the watch of the configuration went on from a number that the store gave out again later, and what was written below it was never seen; reads of the registrations were refused as old until the numbers had passed the known one. Class: an order that holds only within one history, used across two.

Change: model::store_revision, an era and a number, is what is compared, kept and sent (configuration, registrations, watches, gossip, pulls; one packed number on the wire, the same as before for a store without eras). The adapter takes the era from each answer; a watch that is answered in another one has lost its history. A watch that is still pending in an earlier era is ended when any other call or a peer tells of the new one, since a restored store may never answer it. What the copy says of a leaf does not undo what is known: a drain or a later incarnation stays, a leaf that has left returns only if it registers again or is still listed 5 s later, and leaves that the copy lacks are kept for the re-registration period, also if the store was away too shortly to be missed. Instances of an earlier era pull all registrations. A configuration of a lower version than the one in force is not taken in any era.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -10,6 +10,7 @@
 #include "serving/fleet_codec_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace monsooncroft::gateway {
 
@@ -184,6 +185,9 @@
   }
   const model::instant now = event_loop::Now();
   mFleet.OnMessage(*message, now);
+  for (const serving::fleet_member& member : message->mMembers) {
+    UpdateStoreEra(member.mDirectoryRevision, "peer");
+  }
   if (message->mMembers.front().mReachesStore) {
     mStoreLastContact = now;
   }
@@ -225,6 +229,27 @@
   }
 }
 
+void
+control_plane::UpdateStoreEra(model::store_revision aRevision,
+                              const char* aSource)
+{
+  if (aRevision == model::store_revision() ||
+      (mStoreEra && aRevision.Era() <= *mStoreEra)) {
+    return;
+  }
+  const auto before = std::exchange(mStoreEra, aRevision.Era());
+  if (!before) {
+    return;
+  }
+  mMetrics.Count("store_restores");
+  mLog.Write(ops::log_level::Warning,
+             "store_restored",
+             { { "era", static_cast<long>(aRevision.Era()) },
+               { "revision", ToText(aRevision) },
+               { "source", std::string(aSource) } });
+  mStore.EndWatchesBefore(aRevision.Era());
+}
+
 void
 control_plane::OnCallDone(call_state& aState,
                           const char* aCall,
@@ -356,8 +381,8 @@
   }
   mLog.Write(ops::log_level::Info,
              "directory_read_old",
-             { { "revision", static_cast<long>(read.mRevision) },
-               { "known", static_cast<long>(mDirectory.Revision()) } });
+             { { "revision", ToText(read.mRevision) },
+               { "known", ToText(mDirectory.Revision()) } });
   if (aMayBeStale) {
     mFreshReadsUntil = now + kFreshReadPeriod;
     ReadDirectoryNow(now);
@@ -397,14 +422,16 @@
   mStore.WatchDirectory(
     mDirectory.Revision(),
     mSettings.mWatchWait,
-    [this](const store_result<serving::directory_delta>& aResult) {
-      OnDirectoryChange(aResult);
+    [this, after = mDirectory.Revision()](
+      const store_result<serving::directory_delta>& aResult) {
+      OnDirectoryChange(aResult, after);
     });
 }
 
 void
 control_plane::OnDirectoryChange(
-  const store_result<serving::directory_delta>& aResult)
+  const store_result<serving::directory_delta>& aResult,
+  model::store_revision aAfter)
 {
   const auto* error = std::get_if<store_error>(&aResult);
   OnCallDone(mDirectoryWatchCall,
@@ -412,7 +439,8 @@
              error == nullptr ? std::nullopt : std::optional(*error));
   const model::instant now = event_loop::Now();
   if (error != nullptr) {
-    if (*error == store_error::HistoryLost) {
+    if (*error == store_error::HistoryLost &&
+        mDirectory.Revision().Era() == aAfter.Era()) {
       mFreshReadsUntil = now + kFreshReadPeriod;
       mDirectoryCall.mNextCall = now;
       if (!mDirectoryCall.mBusy) {
@@ -429,7 +457,7 @@
 
 void
 control_plane::OnDirectoryBehind(const std::string& aPeer,
-                                 std::uint64_t aPeerRevision,
+                                 model::store_revision aPeerRevision,
                                  model::instant aNow)
 {
   if (mDirectoryBehindSince) {
@@ -439,9 +467,9 @@
   mMetrics.Count("directory_gaps");
   mLog.Write(ops::log_level::Info,
              "directory_behind",
-             { { "known", static_cast<long>(mDirectory.Revision()) },
+             { { "known", ToText(mDirectory.Revision()) },
                { "peer", aPeer },
-               { "peer_revision", static_cast<long>(aPeerRevision) } });
+               { "peer_revision", ToText(aPeerRevision) } });
 }
 
 void
@@ -456,7 +484,7 @@
     { { "source", std::string(aSource) },
       { "ms",
         static_cast<double>((aNow - *mDirectoryBehindSince).count()) / 1000.0 },
-      { "revision", static_cast<long>(mDirectory.Revision()) },
+      { "revision", ToText(mDirectory.Revision()) },
       { "missing_kept", static_cast<long>(mDirectory.MissingCount()) } });
   mDirectoryBehindSince.reset();
 }
@@ -466,11 +494,12 @@
 {
   const auto changes = mDirectory.TakeChanges();
   mFleet.SetDirectoryRevision(mDirectory.Revision());
+  UpdateStoreEra(mDirectory.Revision(), "directory");
   for (const std::string& id : changes.mRemovedIds) {
-    mLog.Write(ops::log_level::Info,
-               "leaf_gone",
-               { { "leaf", id },
-                 { "revision", static_cast<long>(mDirectory.Revision()) } });
+    mLog.Write(
+      ops::log_level::Info,
+      "leaf_gone",
+      { { "leaf", id }, { "revision", ToText(mDirectory.Revision()) } });
   }
   for (const serving::leaf_registration& entry : changes.mChangedLeaves) {
     mLog.Write(ops::log_level::Info,
@@ -479,7 +508,7 @@
                  { "service", entry.mService },
                  { "address", entry.mAddress.ToString() },
                  { "draining", static_cast<long>(entry.mDraining) },
-                 { "revision", static_cast<long>(entry.mRevision) } });
+                 { "revision", ToText(entry.mRevision) } });
   }
   if (!changes.mRemovedIds.empty() || !changes.mChangedLeaves.empty()) {
     mHooks.mOnLeaves(changes);
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -120,7 +120,9 @@
   void OnDirectoryRead(const store_result<serving::directory_snapshot>& aResult,
                        bool aMayBeStale);
   void WatchDirectory(model::instant aNow);
-  void OnDirectoryChange(const store_result<serving::directory_delta>& aResult);
+  /** @param aAfter Revision that the watch continued from. */
+  void OnDirectoryChange(const store_result<serving::directory_delta>& aResult,
+                         model::store_revision aAfter);
   void SendDirectoryDelta(const serving::directory_delta& aDelta,
                           model::instant aNow);
   /** Pulls changes of the registrations that peers know and this instance has
@@ -137,9 +139,11 @@
   /** Logs the first sign that changes of the registrations were missed, and the
    * update that supplies them. */
   void OnDirectoryBehind(const std::string& aPeer,
-                         std::uint64_t aPeerRevision,
+                         model::store_revision aPeerRevision,
                          model::instant aNow);
   void OnDirectoryComplete(const char* aSource, model::instant aNow);
+  /** Ends watches that continue from a revision of an earlier era. */
+  void UpdateStoreEra(model::store_revision aRevision, const char* aSource);
   void OnCallDone(call_state& aState,
                   const char* aCall,
                   std::optional<store_error> aError);
@@ -167,7 +171,9 @@
   call_state mConfigCall;
   call_state mConfigWatchCall;
   call_state mPullCall;
-  std::uint64_t mConfigWatchRevision = 0;
+  model::store_revision mConfigWatchRevision;
+  /** Latest era of the store that this instance or a peer has seen. */
+  std::optional<std::uint64_t> mStoreEra;
   /** Last response of the store to this instance or, as reported, to a peer. */
   std::optional<model::instant> mStoreLastContact;
   int mConsecutiveFailures = 0; ///< Consecutive failed calls to the store.
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -29,7 +29,11 @@
   }
   if (!mConfigWatchCall.mBusy && aNow >= mConfigWatchCall.mNextCall &&
       mFleet.DutyRank("config", true, aNow) == 0) {
-    WatchConfig();
+    if (mConfigWatchRevision.Era() >= mStoreEra.value_or(0)) {
+      WatchConfig();
+    } else if (!mConfigCall.mBusy && aNow >= mConfigCall.mNextCall) {
+      ReadConfig(false);
+    }
   }
 }
 
@@ -46,6 +50,7 @@
                  error == nullptr ? std::nullopt : std::optional(*error));
       if (error == nullptr) {
         const auto& text = std::get<config_text>(aResult);
+        UpdateStoreEra(text.mRevision, "config");
         AdoptConfig(text, "store");
         mConfigWatchRevision = std::max(mConfigWatchRevision, text.mRevision);
       }
@@ -158,7 +163,7 @@
              "config_in_force",
              { { "version", static_cast<long>(mConfig->Version()) },
                { "before", static_cast<long>(currentVersion) },
-               { "revision", static_cast<long>(aText.mRevision) },
+               { "revision", ToText(aText.mRevision) },
                { "routes", static_cast<long>(mConfig->Routes().size()) },
                { "source", std::string(aSource) } });
   mHooks.mOnConfig(mConfig);
--- a/src/gateway/control_store_base.h
+++ b/src/gateway/control_store_base.h
@@ -23,7 +23,8 @@
   Unreachable, ///< No response in time, or no connection.
   Refused,     ///< The store is overloaded or rejects this instance.
   Absent,      ///< The requested item does not exist yet.
-  /** The store no longer has the revision that a watch continues from. */
+  /** The store no longer has the revision that a watch continues from, or has
+   * been restored from an older copy since. */
   HistoryLost,
   Malformed, ///< The response cannot be decoded.
 };
@@ -34,14 +35,14 @@
 /** The configuration as stored, not decoded. */
 struct config_text
 {
-  std::uint64_t mRevision = 0; ///< Store revision of its last change.
+  model::store_revision mRevision; ///< Of its last change.
   std::string mText;
 };
 
 /** Result of a configuration watch. */
 struct config_change
 {
-  std::uint64_t mRevision = 0;      ///< Revision for the next watch.
+  model::store_revision mRevision;  ///< For the next watch.
   std::optional<config_text> mText; ///< Empty if nothing changed.
 };
 
@@ -66,14 +67,17 @@
   virtual void ReadDirectory(bool aMayBeStale,
                              callback<serving::directory_snapshot> aDone) = 0;
   /** Completes on the first changes after a revision, or after the wait. */
-  virtual void WatchDirectory(std::uint64_t aAfter,
+  virtual void WatchDirectory(model::store_revision aAfter,
                               std::chrono::milliseconds aWait,
                               callback<serving::directory_delta> aDone) = 0;
   virtual void ReadConfig(bool aMayBeStale, callback<config_text> aDone) = 0;
   /** Completes on the first change after a revision, or after the wait. */
-  virtual void WatchConfig(std::uint64_t aAfter,
+  virtual void WatchConfig(model::store_revision aAfter,
                            std::chrono::milliseconds aWait,
                            callback<config_change> aDone) = 0;
+  /** Ends pending watches that continue from a revision of an earlier era: they
+   * complete with HistoryLost, since the store may never answer them. */
+  virtual void EndWatchesBefore(std::uint64_t aEra) = 0;
   /** Decodes a configuration; returns an error message if it is invalid. */
   virtual std::variant<serving::routing_config::content, std::string>
   DecodeConfig(const std::string& aText) const = 0;
--- a/src/gateway/http_channel.cpp
+++ b/src/gateway/http_channel.cpp
@@ -28,6 +28,14 @@
   }
 }
 
+void
+http_channel::Cancel()
+{
+  if (Busy()) {
+    Finish(std::nullopt, false);
+  }
+}
+
 void
 http_channel::Call(std::string aRequest,
                    model::duration aTimeout,
--- a/src/gateway/http_channel_base.h
+++ b/src/gateway/http_channel_base.h
@@ -41,6 +41,8 @@
   void Call(std::string aRequest,
             model::duration aTimeout,
             response_handler aOnResponse);
+  /** Ends the call in progress, if any, without a response. */
+  void Cancel();
   bool Busy() const { return mOnResponse != nullptr; }
   void SetServer(const model::endpoint& aServer);
 
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -14,6 +14,12 @@
 
 constexpr int kFormatVersion = 2; ///< First element of each message.
 
+model::store_revision
+ToRevision(const json& aPacked)
+{
+  return model::store_revision::Unpack(aPacked.get<std::uint64_t>());
+}
+
 json
 ToArray(const fleet_member& aMember)
 {
@@ -26,7 +32,7 @@
       aMember.mHeartbeat,
       aMember.mConfigVersion,
       (aMember.mReachesStore ? 1 : 0) | (aMember.mLeaving ? 2 : 0),
-      aMember.mDirectoryRevision,
+      aMember.mDirectoryRevision.Pack(),
       aMember.mStateHeartbeat });
 }
 
@@ -45,8 +51,9 @@
   member.mReachesStore = (flags & 1) != 0;
   member.mLeaving = (flags & 2) != 0;
   // Instances of earlier versions do not send the following elements.
-  member.mDirectoryRevision =
-    aArray.size() > 8 ? aArray.at(8).get<std::uint64_t>() : 0;
+  if (aArray.size() > 8) {
+    member.mDirectoryRevision = ToRevision(aArray.at(8));
+  }
   member.mStateHeartbeat =
     aArray.size() > 9 ? aArray.at(9).get<std::uint64_t>() : member.mHeartbeat;
   return member;
@@ -64,7 +71,7 @@
                        aLeaf.mDraining,
                        aLeaf.mIncarnation,
                        aLeaf.mColdRemainingMs,
-                       aLeaf.mRevision });
+                       aLeaf.mRevision.Pack() });
 }
 
 leaf_registration
@@ -80,7 +87,7 @@
   leaf.mDraining = aArray.at(6).get<bool>();
   leaf.mIncarnation = aArray.at(7).get<std::uint64_t>();
   leaf.mColdRemainingMs = aArray.at(8).get<std::int64_t>();
-  leaf.mRevision = aArray.at(9).get<std::uint64_t>();
+  leaf.mRevision = ToRevision(aArray.at(9));
   return leaf;
 }
 
@@ -137,8 +144,8 @@
 json
 ToArray(const directory_delta& aDelta)
 {
-  return json::array({ aDelta.mBaseRevision,
-                       aDelta.mRevision,
+  return json::array({ aDelta.mBaseRevision.Pack(),
+                       aDelta.mRevision.Pack(),
                        ToArrays(aDelta.mChangedLeaves),
                        aDelta.mRemovedIds,
                        aDelta.mMissingIds });
@@ -148,8 +155,8 @@
 ToDelta(const json& aArray)
 {
   directory_delta delta;
-  delta.mBaseRevision = aArray.at(0).get<std::uint64_t>();
-  delta.mRevision = aArray.at(1).get<std::uint64_t>();
+  delta.mBaseRevision = ToRevision(aArray.at(0));
+  delta.mRevision = ToRevision(aArray.at(1));
   for (const json& leaf : aArray.at(2)) {
     delta.mChangedLeaves.push_back(ToLeaf(leaf));
   }
@@ -364,8 +371,9 @@
 std::string
 EncodeSnapshotRequest(const snapshot_request& aRequest)
 {
-  return Pack(json::array(
-    { kFormatVersion, aRequest.mConfigVersion, aRequest.mDirectoryRevision }));
+  return Pack(json::array({ kFormatVersion,
+                            aRequest.mConfigVersion,
+                            aRequest.mDirectoryRevision.Pack() }));
 }
 
 std::optional<snapshot_request>
@@ -377,7 +385,7 @@
   }
   try {
     return snapshot_request{ value->at(1).get<std::uint64_t>(),
-                             value->at(2).get<std::uint64_t>() };
+                             ToRevision(value->at(2)) };
   } catch (const json::exception&) {
     return std::nullopt; // The receiver reads on, up to its limit.
   }
@@ -389,11 +397,11 @@
   return Pack(json::array(
     { kFormatVersion,
       aSnapshot.mConfigVersion,
-      aSnapshot.mConfigRevision,
+      aSnapshot.mConfigRevision.Pack(),
       aSnapshot.mConfigText,
-      aSnapshot.mDirectory.mRevision,
+      aSnapshot.mDirectory.mRevision.Pack(),
       ToArrays(aSnapshot.mDirectory.mChangedLeaves),
-      aSnapshot.mDirectory.mBaseRevision,
+      aSnapshot.mDirectory.mBaseRevision.Pack(),
       aSnapshot.mDirectory.mRemovedIds,
       aSnapshot.mCompleteAgeMs ? json(*aSnapshot.mCompleteAgeMs) : json(),
       aSnapshot.mDirectory.mMissingIds }));
@@ -409,13 +417,13 @@
   try {
     fleet_snapshot snapshot;
     snapshot.mConfigVersion = value->at(1).get<std::uint64_t>();
-    snapshot.mConfigRevision = value->at(2).get<std::uint64_t>();
+    snapshot.mConfigRevision = ToRevision(value->at(2));
     snapshot.mConfigText = value->at(3).get<std::string>();
-    snapshot.mDirectory.mRevision = value->at(4).get<std::uint64_t>();
+    snapshot.mDirectory.mRevision = ToRevision(value->at(4));
     for (const json& leaf : value->at(5)) {
       snapshot.mDirectory.mChangedLeaves.push_back(ToLeaf(leaf));
     }
-    snapshot.mDirectory.mBaseRevision = value->at(6).get<std::uint64_t>();
+    snapshot.mDirectory.mBaseRevision = ToRevision(value->at(6));
     snapshot.mDirectory.mRemovedIds =
       value->at(7).get<std::vector<std::string>>();
     if (!value->at(8).is_null()) {
--- a/src/serving/fleet_codec_func.h
+++ b/src/serving/fleet_codec_func.h
@@ -16,8 +16,9 @@
 /** What an instance that asks a peer for newer data already has. */
 struct snapshot_request
 {
-  std::uint64_t mConfigVersion = 0;     ///< 0: none.
-  std::uint64_t mDirectoryRevision = 0; ///< 0: no registration is known.
+  std::uint64_t mConfigVersion = 0; ///< 0: none.
+  /** The first revision: no registration is known. */
+  model::store_revision mDirectoryRevision;
 
   bool operator==(const snapshot_request&) const = default;
 };
@@ -27,10 +28,10 @@
 struct fleet_snapshot
 {
   std::uint64_t mConfigVersion = 0;
-  std::uint64_t mConfigRevision = 0; ///< Store revision at which it was read.
-  std::string mConfigText;           ///< Unparsed, as stored; empty if the
-                                     ///< peer has this version or a newer one.
-  directory_delta mDirectory;        ///< Changes since the peer's revision.
+  model::store_revision mConfigRevision; ///< Of its last change.
+  std::string mConfigText;               ///< Unparsed, as stored; empty if the
+                           ///< peer has this version or a newer one.
+  directory_delta mDirectory; ///< Changes since the peer's revision.
   /** Time since the sender's registrations were last known to be complete;
    * nothing if never. */
   std::optional<std::uint32_t> mCompleteAgeMs;
--- a/src/serving/fleet_membership.cpp
+++ b/src/serving/fleet_membership.cpp
@@ -165,7 +165,7 @@
 }
 
 void
-fleet_membership::SetDirectoryRevision(std::uint64_t aRevision)
+fleet_membership::SetDirectoryRevision(model::store_revision aRevision)
 {
   if (aRevision > mSelf.mDirectoryRevision) {
     mSelf.mDirectoryRevision = aRevision;
--- a/src/serving/fleet_membership_base.h
+++ b/src/serving/fleet_membership_base.h
@@ -63,7 +63,7 @@
   fleet_message BuildMessage(model::instant aNow);
 
   void SetConfigVersion(std::uint64_t aVersion);
-  void SetDirectoryRevision(std::uint64_t aRevision);
+  void SetDirectoryRevision(model::store_revision aRevision);
   void SetReachesStore(bool aReaches);
   void SetSeeds(std::vector<model::endpoint> aSeeds);
   void SetLeaving();
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -31,7 +31,7 @@
   std::uint64_t mStateHeartbeat = 0;
   std::uint64_t mConfigVersion = 0;
   /** Store revision up to which it knows the leaf registrations. */
-  std::uint64_t mDirectoryRevision = 0;
+  model::store_revision mDirectoryRevision;
   bool mReachesStore = false; ///< Its last calls to the store succeeded.
   bool mLeaving = false;
 
--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace monsooncroft::serving {
 
@@ -18,10 +19,30 @@
  * older ones. */
 constexpr std::size_t kMaxSkippedRanges = 32;
 
+/** A later registration of a known leaf. If it is the first one of a later era,
+ * it may be from a copy that is older than the known one: then a drain of the
+ * same incarnation, or a later incarnation, stays known. */
+leaf_registration
+MergeLaterEra(const leaf_registration& aKnown, leaf_registration aLater)
+{
+  if (aKnown.mRevision.Era() == aLater.mRevision.Era()) {
+    return aLater;
+  }
+  if (aKnown.mIncarnation > aLater.mIncarnation) {
+    const model::store_revision revision = aLater.mRevision;
+    aLater = aKnown;
+    aLater.mRevision = revision;
+  } else if (aKnown.mIncarnation == aLater.mIncarnation) {
+    aLater.mDraining = aLater.mDraining || aKnown.mDraining;
+  }
+  return aLater;
+}
+
 } // namespace
 
 void
-leaf_directory::Put(const leaf_registration& aLeaf, std::uint64_t aSeenAt)
+leaf_directory::Put(const leaf_registration& aLeaf,
+                    model::store_revision aSeenAt)
 {
   // A peer may know a leaf from a change beyond its own revision.
   aSeenAt = std::max(aSeenAt, aLeaf.mRevision);
@@ -31,14 +52,19 @@
   if (returned) {
     mMissingRevisions.erase(missing);
   }
-  const auto removed = mRemovedRevisions.find(aLeaf.mId);
-  if (removed != mRemovedRevisions.end()) {
+  const auto removed = mRemovedLeaves.find(aLeaf.mId);
+  if (removed != mRemovedLeaves.end()) {
     // A registration that expired in an outage of the store may return with its
     // old revision, so the revision at which it was seen decides.
-    if (removed->second > aSeenAt) {
+    if (removed->second.mRevision > aSeenAt) {
       return;
     }
-    mRemovedRevisions.erase(removed);
+    if (MayPrecedeRemoval(removed->second, aLeaf, aSeenAt)) {
+      mRestoredLeaves.try_emplace(aLeaf.mId, known_leaf{ aLeaf, aSeenAt });
+      return;
+    }
+    mRemovedLeaves.erase(removed);
+    mRestoredLeaves.erase(aLeaf.mId);
   }
   const auto [place, inserted] =
     mLeaves.try_emplace(aLeaf.mId, known_leaf{ aLeaf, aSeenAt });
@@ -46,17 +72,59 @@
     if (returned) {
       place->second.mSeenAt = aSeenAt; // Peers know the leaf as missing.
     }
-    const leaf_registration& known = place->second.mRegistration;
+    const leaf_registration known = place->second.mRegistration;
     if (known.mRevision >= aLeaf.mRevision) {
       return;
     }
-    const bool same = known.EqualsIgnoringHeartbeat(aLeaf);
-    place->second = { aLeaf, aSeenAt };
-    if (same) {
+    place->second = { MergeLaterEra(known, aLeaf), aSeenAt };
+    if (known.EqualsIgnoringHeartbeat(place->second.mRegistration)) {
       return;
     }
   }
-  mPendingChanges.mChangedLeaves.push_back(aLeaf);
+  mPendingChanges.mChangedLeaves.push_back(place->second.mRegistration);
+}
+
+bool
+leaf_directory::MayPrecedeRemoval(const removed_leaf& aRemoval,
+                                  const leaf_registration& aLeaf,
+                                  model::store_revision aSeenAt) const
+{
+  if (aRemoval.mRevision.Era() == aSeenAt.Era() ||
+      aLeaf.mIncarnation > aRemoval.mIncarnation || aLeaf.mIncarnation == 0) {
+    return false;
+  }
+  const auto before = mRestoredLeaves.find(aLeaf.mId);
+  return before == mRestoredLeaves.end() ||
+         before->second.mRegistration.mRevision == aLeaf.mRevision;
+}
+
+void
+leaf_directory::SetCompleteAt(model::instant aTime)
+{
+  mLastCompleteTime = std::max(mLastCompleteTime.value_or(aTime), aTime);
+  if (mRestoredLeaves.empty() || !mStoreRestoredAt ||
+      *mLastCompleteTime - *mStoreRestoredAt < mSettings.mRestoredCopyPeriod) {
+    return;
+  }
+  const auto restored = std::exchange(mRestoredLeaves, {});
+  for (const auto& [id, leaf] : restored) {
+    mRemovedLeaves.erase(id);
+    Put(leaf.mRegistration, leaf.mSeenAt);
+  }
+}
+
+void
+leaf_directory::UpdateEra(model::store_revision aRevision, model::instant aNow)
+{
+  if (aRevision.Era() <= mRevision.Era()) {
+    return;
+  }
+  mStoreRestoredAt = aNow;
+  mHistoryStart = aRevision;
+  mRestoredLeaves.clear();
+  if (mRevision != model::store_revision()) {
+    mStoreRecoveredAt = aNow;
+  }
 }
 
 bool
@@ -79,13 +147,15 @@
 }
 
 bool
-leaf_directory::Remove(const std::string& aId, std::uint64_t aRevision)
+leaf_directory::Remove(const std::string& aId, model::store_revision aRevision)
 {
+  removed_leaf removed{ aRevision, 0 };
   const auto found = mLeaves.find(aId);
   if (found != mLeaves.end()) {
     if (found->second.mRegistration.mRevision > aRevision) {
       return false;
     }
+    removed.mIncarnation = found->second.mRegistration.mIncarnation;
     mLeaves.erase(found);
     // Receivers apply removals first.
     std::erase_if(
@@ -93,28 +163,41 @@
       [&](const leaf_registration& aLeaf) { return aLeaf.mId == aId; });
     mPendingChanges.mRemovedIds.push_back(aId);
   }
+  if (const auto restored = mRestoredLeaves.find(aId);
+      restored != mRestoredLeaves.end()) {
+    if (restored->second.mSeenAt > aRevision) {
+      return false;
+    }
+    mRestoredLeaves.erase(restored);
+  }
   // Also for a leaf that was not known: peers may know it.
-  std::uint64_t& removedAt = mRemovedRevisions[aId];
-  removedAt = std::max(removedAt, aRevision);
-  if (mRemovedRevisions.size() > kMaxRemovedIds) {
-    const auto oldest =
-      std::min_element(mRemovedRevisions.begin(),
-                       mRemovedRevisions.end(),
-                       [](const auto& aLeft, const auto& aRight) {
-                         return aLeft.second < aRight.second;
-                       });
-    mHistoryStart = std::max(mHistoryStart, oldest->second);
-    mRemovedRevisions.erase(oldest);
+  const auto [place, inserted] = mRemovedLeaves.try_emplace(aId, removed);
+  if (!inserted) {
+    place->second.mRevision = std::max(place->second.mRevision, aRevision);
+    if (removed.mIncarnation != 0) {
+      place->second.mIncarnation = removed.mIncarnation;
+    }
+  }
+  if (mRemovedLeaves.size() > kMaxRemovedIds) {
+    const auto oldest = std::min_element(
+      mRemovedLeaves.begin(),
+      mRemovedLeaves.end(),
+      [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.mRevision < aRight.second.mRevision;
+      });
+    mHistoryStart = std::max(mHistoryStart, oldest->second.mRevision);
+    mRemovedLeaves.erase(oldest);
   }
   return true;
 }
 
 void
 leaf_directory::OnMissing(const std::string& aId,
-                          std::uint64_t aRevision,
+                          model::store_revision aRevision,
                           bool aKeep)
 {
   if (aKeep) {
+    mRestoredLeaves.erase(aId);
     mMissingRevisions[aId] = aRevision;
   } else {
     Remove(aId, aRevision);
@@ -128,27 +211,30 @@
   if (aSnapshot.mRevision < mRevision) {
     return std::nullopt;
   }
+  UpdateEra(aSnapshot.mRevision, aNow);
   const bool keepMissing = OnStoreRead(aNow);
-  if (mRevision == 0) {
+  if (mRevision == model::store_revision()) {
     mHistoryStart = aSnapshot.mRevision;
   }
-  const std::uint64_t base = std::max(mRevision, mHistoryStart);
+  const model::store_revision base = std::max(mRevision, mHistoryStart);
   std::set<std::string> present;
   for (const leaf_registration& leaf : aSnapshot.mLeaves) {
     present.insert(leaf.mId);
     Put(leaf, aSnapshot.mRevision);
   }
   std::vector<std::string> missing;
-  for (const auto& [id, leaf] : mLeaves) {
-    if (!present.contains(id)) {
-      missing.push_back(id);
+  for (const auto* leaves : { &mLeaves, &mRestoredLeaves }) {
+    for (const auto& [id, leaf] : *leaves) {
+      if (!present.contains(id)) {
+        missing.push_back(id);
+      }
     }
   }
   for (const std::string& id : missing) {
     OnMissing(id, aSnapshot.mRevision, keepMissing);
   }
   SkipTo(aSnapshot.mRevision);
-  mLastCompleteTime = std::max(mLastCompleteTime.value_or(aNow), aNow);
+  SetCompleteAt(aNow);
   return ChangesSince(base);
 }
 
@@ -156,7 +242,7 @@
 leaf_directory::OnWatch(const directory_delta& aChanges, model::instant aNow)
 {
   const bool keepMissing = OnStoreRead(aNow);
-  const std::uint64_t base = mRevision;
+  const model::store_revision base = mRevision;
   for (const leaf_registration& leaf : aChanges.mChangedLeaves) {
     Put(leaf, aChanges.mRevision);
   }
@@ -164,7 +250,7 @@
     OnMissing(id, aChanges.mRevision, keepMissing);
   }
   mRevision = std::max(mRevision, aChanges.mRevision);
-  mLastCompleteTime = aNow;
+  SetCompleteAt(aNow);
   return ChangesSince(base);
 }
 
@@ -190,14 +276,17 @@
     Remove(id, aDelta.mRevision);
   }
   for (const std::string& id : aDelta.mMissingIds) {
+    mRestoredLeaves.erase(id);
     mMissingRevisions[id] = aDelta.mRevision; // Also if unknown: peers ask.
   }
 }
 
 void
-leaf_directory::SkipTo(std::uint64_t aRevision)
+leaf_directory::SkipTo(model::store_revision aRevision)
 {
-  if (aRevision > mRevision) {
+  if (aRevision.Era() != mRevision.Era()) {
+    mSkippedRevisions.clear();
+  } else if (aRevision > mRevision) {
     mSkippedRevisions.emplace_back(mRevision, aRevision);
   }
   if (mSkippedRevisions.size() > kMaxSkippedRanges) {
@@ -208,9 +297,9 @@
 }
 
 bool
-leaf_directory::KnowsRemovalsSince(std::uint64_t aRevision) const
+leaf_directory::KnowsRemovalsSince(model::store_revision aRevision) const
 {
-  return aRevision >= mHistoryStart &&
+  return aRevision >= mHistoryStart && aRevision.Era() == mRevision.Era() &&
          std::none_of(mSkippedRevisions.begin(),
                       mSkippedRevisions.end(),
                       [&](const auto& aRange) {
@@ -244,7 +333,7 @@
   }
   std::vector<std::string> unlisted;
   for (const auto& [id, leaf] : mLeaves) {
-    const std::uint64_t revision = leaf.mRegistration.mRevision;
+    const model::store_revision revision = leaf.mRegistration.mRevision;
     if (revision > aDelta.mBaseRevision && revision <= aDelta.mRevision &&
         !listed.contains(id)) {
       unlisted.push_back(id);
@@ -258,12 +347,12 @@
 bool
 leaf_directory::Replace(const directory_delta& aDelta, model::instant aReadAt)
 {
-  if (aDelta.mBaseRevision != 0) {
+  if (aDelta.mBaseRevision != model::store_revision()) {
     return false;
   }
   directory_snapshot snapshot{ aDelta.mRevision, aDelta.mChangedLeaves };
   std::erase_if(snapshot.mLeaves, [&](const leaf_registration& aLeaf) {
-    return mRemovedRevisions.contains(aLeaf.mId) &&
+    return mRemovedLeaves.contains(aLeaf.mId) &&
            std::find(aDelta.mMissingIds.begin(),
                      aDelta.mMissingIds.end(),
                      aLeaf.mId) != aDelta.mMissingIds.end();
@@ -290,7 +379,7 @@
   if (!AdvanceTo(aDelta)) {
     return false;
   }
-  mLastCompleteTime = aNow;
+  SetCompleteAt(aNow);
   return true;
 }
 
@@ -311,36 +400,42 @@
   if (!AdvanceTo(aDelta)) {
     return false;
   }
-  if (aCompleteAt &&
-      (!mLastCompleteTime || *aCompleteAt > *mLastCompleteTime)) {
-    mLastCompleteTime = aCompleteAt;
+  if (aCompleteAt) {
+    SetCompleteAt(*aCompleteAt);
   }
   return true;
 }
 
 directory_delta
-leaf_directory::ChangesSince(std::uint64_t aRevision) const
+leaf_directory::ChangesSince(model::store_revision aRevision) const
 {
   directory_delta delta;
   const bool knowsRemovals = KnowsRemovalsSince(aRevision);
-  delta.mBaseRevision = knowsRemovals ? aRevision : 0;
+  delta.mBaseRevision = knowsRemovals ? aRevision : model::store_revision();
   delta.mRevision = mRevision;
-  for (const auto& [id, leaf] : mLeaves) {
-    // A peer that has removed a missing leaf must not get it back.
-    if (aRevision != 0 && mMissingRevisions.contains(id)) {
-      continue;
-    }
-    if (!knowsRemovals || leaf.mSeenAt > aRevision) {
-      delta.mChangedLeaves.push_back(leaf.mRegistration);
+  for (const auto* leaves : { &mLeaves, &mRestoredLeaves }) {
+    for (const auto& [id, leaf] : *leaves) {
+      // A peer that has removed a missing leaf must not get it back.
+      if (aRevision != model::store_revision() &&
+          mMissingRevisions.contains(id)) {
+        continue;
+      }
+      if (knowsRemovals ? leaf.mSeenAt > aRevision : IsOfThisEra(leaf)) {
+        delta.mChangedLeaves.push_back(leaf.mRegistration);
+      }
     }
   }
-  for (const auto& [id, revision] : mRemovedRevisions) {
-    if (revision > aRevision) {
+  for (const auto& [id, removed] : mRemovedLeaves) {
+    if (removed.mRevision > aRevision) {
       delta.mRemovedIds.push_back(id);
     }
   }
   for (const auto& [id, revision] : mMissingRevisions) {
-    delta.mMissingIds.push_back(id);
+    const auto leaf = mLeaves.find(id);
+    // Those of an earlier era are missing for all peers of this one.
+    if (leaf == mLeaves.end() || IsOfThisEra(leaf->second)) {
+      delta.mMissingIds.push_back(id);
+    }
   }
   return delta;
 }
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -22,6 +22,11 @@
   /** Time without a read by any instance after which the store counts as having
    * failed. */
   std::chrono::milliseconds mStoreOutageAfter{ 2'000 };
+  /** Time after the restore of the store for which it may list leaves that have
+   * left since its copy was made: it removes them after three missed
+   * heartbeats.
+   */
+  std::chrono::milliseconds mRestoredCopyPeriod{ 5'000 };
 };
 
 /**
@@ -29,7 +34,9 @@
  * by revision, so that order and repetition do not matter. When the store
  * returns after an outage, most registrations have expired: removing them all
  * would leave no leaf to serve requests, so they are kept for the time in which
- * live leaves register again.
+ * live leaves register again. The same holds for a store that was restored from
+ * an older copy, which besides lists leaves as they were before; what has been
+ * known of them since, a drain or a removal, holds until they register again.
  */
 class leaf_directory
 {
@@ -54,8 +61,9 @@
                        std::optional<model::instant> aCompleteAt);
   /** Changes for a peer that knows all changes up to aRevision; 0 if it knows
    * none. If this directory does not know what was removed since, because it
-   * began later, these are all registrations, with base revision 0. */
-  directory_delta ChangesSince(std::uint64_t aRevision) const;
+   * began later or in a later era, these are all registrations, with base
+   * revision 0. */
+  directory_delta ChangesSince(model::store_revision aRevision) const;
   /** Merges changes from a watch on the store.
    * @return Changes to send to peers. */
   directory_delta OnWatch(const directory_delta& aChanges, model::instant aNow);
@@ -72,7 +80,7 @@
   };
   changes TakeChanges();
 
-  std::uint64_t Revision() const { return mRevision; }
+  model::store_revision Revision() const { return mRevision; }
   /** Time at which the directory was last known to be complete. */
   std::optional<model::instant> LastCompleteTime() const
   {
@@ -83,11 +91,24 @@
   std::size_t MissingCount() const { return mMissingRevisions.size(); }
 
 private:
+  struct known_leaf
+  {
+    leaf_registration mRegistration;
+    /** Store revision at which this directory saw the last change. Above that
+     * of the registration if it returned unchanged after an outage. */
+    model::store_revision mSeenAt;
+  };
+  struct removed_leaf
+  {
+    model::store_revision mRevision; ///< At which the leaf was absent.
+    std::uint64_t mIncarnation = 0;  ///< 0: the leaf was not known.
+  };
+
   /**
    * Adds or updates a registration, unless a newer one or its removal is known.
    * @param aSeenAt Store revision at which the registration existed.
    */
-  void Put(const leaf_registration& aLeaf, std::uint64_t aSeenAt);
+  void Put(const leaf_registration& aLeaf, model::store_revision aSeenAt);
   /** Records that the store was read, by this instance or by a peer.
    * @return Whether missing registrations are kept, as in
    * UpdateReregistrationPeriod. */
@@ -97,10 +118,12 @@
    * kept. */
   bool UpdateReregistrationPeriod(model::instant aNow);
   /** Keeps or removes a leaf that the store does not list at a revision. */
-  void OnMissing(const std::string& aId, std::uint64_t aRevision, bool aKeep);
+  void OnMissing(const std::string& aId,
+                 model::store_revision aRevision,
+                 bool aKeep);
   /** Removes a registration and remembers the removal.
    * @return Whether no newer registration is known. */
-  bool Remove(const std::string& aId, std::uint64_t aRevision);
+  bool Remove(const std::string& aId, model::store_revision aRevision);
   /** Whether all that a delta can contain is known. A leaf in it that is not
    * known has been removed since. */
   bool IsOutdated(const directory_delta& aDelta) const
@@ -110,41 +133,52 @@
   /** Applies the content of a delta. */
   void ApplyDelta(const directory_delta& aDelta);
   /** Advances the revision after a snapshot was applied. */
-  void SkipTo(std::uint64_t aRevision);
+  void SkipTo(model::store_revision aRevision);
   /** Removes leaves that were known from an incomplete delta before and are not
    * in a complete one that covers their revisions. */
   void RemoveUnlisted(const directory_delta& aDelta);
-  /** Whether all removals since a revision are known. */
-  bool KnowsRemovalsSince(std::uint64_t aRevision) const;
+  /** Whether all removals since a revision of this era are known. */
+  bool KnowsRemovalsSince(model::store_revision aRevision) const;
   /** Advances the revision after a delta was applied.
    * @return Whether all changes up to the delta's revision are known. */
   bool AdvanceTo(const directory_delta& aDelta);
+  /** Records that the registrations were complete at a time. If it is after the
+   * time in which a restored store may list leaves that have left, adds the
+   * leaves that it still lists. */
+  void SetCompleteAt(model::instant aTime);
+  /** Starts the re-registration period if a revision is of a later era. */
+  void UpdateEra(model::store_revision aRevision, model::instant aNow);
   /** Replaces what is known by a delta that consists of all registrations.
    * @return Whether the delta does. */
   bool Replace(const directory_delta& aDelta, model::instant aReadAt);
-
-  struct known_leaf
+  /** Whether a registration may be from before the removal of the leaf, as the
+   * copy has it from which the store was restored. */
+  bool MayPrecedeRemoval(const removed_leaf& aRemoval,
+                         const leaf_registration& aLeaf,
+                         model::store_revision aSeenAt) const;
+  /** Whether the store has listed a leaf in this era. */
+  bool IsOfThisEra(const known_leaf& aLeaf) const
   {
-    leaf_registration mRegistration;
-    /** Store revision at which this directory saw the last change. Above that
-     * of the registration if it returned unchanged after an outage. */
-    std::uint64_t mSeenAt = 0;
-  };
+    return aLeaf.mRegistration.mRevision.Era() == mRevision.Era();
+  }
 
   leaf_directory_settings mSettings;
-  std::map<std::string, known_leaf> mLeaves; ///< By id.
-  /** Ids of removed leaves, with the store revision at which each was absent.
+  std::map<std::string, known_leaf> mLeaves;          ///< By id.
+  std::map<std::string, removed_leaf> mRemovedLeaves; ///< By id.
+  /** Leaves that a restored store lists although they had been removed, by id.
    */
-  std::map<std::string, std::uint64_t> mRemovedRevisions;
+  std::map<std::string, known_leaf> mRestoredLeaves;
+  std::optional<model::instant> mStoreRestoredAt; ///< Start of the last era.
   /** Ids of leaves that are missing in the store but kept for now, with the
    * store revision at which each was absent. */
-  std::map<std::string, std::uint64_t> mMissingRevisions;
-  std::uint64_t mRevision = 0;
+  std::map<std::string, model::store_revision> mMissingRevisions;
+  model::store_revision mRevision;
   /** Removals since this store revision are remembered. */
-  std::uint64_t mHistoryStart = 0;
+  model::store_revision mHistoryStart;
   /** Ranges that snapshots have skipped, without their ends: leaves that came
    * and left between are not known. */
-  std::deque<std::pair<std::uint64_t, std::uint64_t>> mSkippedRevisions;
+  std::deque<std::pair<model::store_revision, model::store_revision>>
+    mSkippedRevisions;
   std::optional<model::instant> mLastCompleteTime;
   /** Last time at which this instance or, by its delta, a peer had read the
    * store; the directory may be incomplete then. */
--- a/src/serving/leaf_registration_type.h
+++ b/src/serving/leaf_registration_type.h
@@ -6,6 +6,7 @@
 #define MONSOONCROFT_SERVING_LEAF_REGISTRATION_TYPE_H
 
 #include "model/endpoint_type.h"
+#include "model/store_revision_type.h"
 #include "model/time_type.h"
 
 #include <cstdint>
@@ -25,7 +26,7 @@
   bool mDraining = false;            ///< It accepts no new requests.
   std::uint64_t mIncarnation = 0;    ///< Start time of the process, Unix ms.
   std::int64_t mColdRemainingMs = 0; ///< Remaining slow time after its start.
-  std::uint64_t mRevision = 0;       ///< Store revision of the registration.
+  model::store_revision mRevision;   ///< Of the registration.
 
   bool operator==(const leaf_registration&) const = default;
 
@@ -41,7 +42,7 @@
 /** All registrations at one revision of the store. */
 struct directory_snapshot
 {
-  std::uint64_t mRevision = 0; ///< Store revision at the read's first page.
+  model::store_revision mRevision; ///< At the read's first page.
   std::vector<leaf_registration> mLeaves;
 };
 
@@ -50,8 +51,8 @@
 {
   /** The delta is complete for a receiver that knows all changes up to this
    * store revision. */
-  std::uint64_t mBaseRevision = 0;
-  std::uint64_t mRevision = 0; ///< Store revision after the delta.
+  model::store_revision mBaseRevision;
+  model::store_revision mRevision; ///< After the delta.
   std::vector<leaf_registration> mChangedLeaves;
   std::vector<std::string> mRemovedIds;
   /** All leaves that are missing in the store at mRevision, but may register
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -27,7 +27,7 @@
       aDone(serving::directory_snapshot{ mRevision, mLeaves });
     }
   }
-  void WatchDirectory(std::uint64_t /*aAfter*/,
+  void WatchDirectory(model::store_revision /*aAfter*/,
                       std::chrono::milliseconds /*aWait*/,
                       callback<serving::directory_delta> aDone) override
   {
@@ -42,12 +42,16 @@
       aDone(config_text{ 1, std::to_string(mContent.mVersion) });
     }
   }
-  void WatchConfig(std::uint64_t /*aAfter*/,
+  void WatchConfig(model::store_revision /*aAfter*/,
                    std::chrono::milliseconds /*aWait*/,
                    callback<config_change> aDone) override
   {
     mConfigWatch = std::move(aDone);
   }
+  void EndWatchesBefore(std::uint64_t aEra) override
+  {
+    mWatchesEndedBefore = aEra;
+  }
   std::variant<serving::routing_config::content, std::string> DecodeConfig(
     const std::string& /*aText*/) const override
   {
@@ -81,6 +85,7 @@
 
   bool mDown = false;
   int mCalls = 0;
+  std::uint64_t mWatchesEndedBefore = 0;
   std::uint64_t mRevision = 1;
   std::vector<serving::leaf_registration> mLeaves;
   serving::routing_config::content mContent;
--- a/test/serving/fleet_orders_test.cpp
+++ b/test/serving/fleet_orders_test.cpp
@@ -315,7 +315,7 @@
     return snapshot;
   }
   /** Changes after a revision, as a watch that resumes there returns them. */
-  directory_delta ChangesSince(std::uint64_t aRevision) const
+  directory_delta ChangesSince(model::store_revision aRevision) const
   {
     directory_delta delta;
     delta.mBaseRevision = aRevision;
@@ -364,7 +364,7 @@
   }
 
 private:
-  std::map<std::string, std::uint64_t> mRevisions; ///< By leaf id.
+  std::map<std::string, model::store_revision> mRevisions; ///< By leaf id.
 };
 
 /** A drain mark is undone if an older registration replaces a newer one.
