--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -31,10 +31,10 @@
 /** Time for which an instance waits for changes on their way to it before it
  * pulls them from a peer. */
 constexpr std::chrono::milliseconds kPullDelay{ 150 };
-/** Added to the period of reads per rank, up to a rank. Datagrams arrive within
- * it or a few of it. */
+/** Added to the period of reads per rank, for a datagram from the first reader
+ * to arrive in between. */
 constexpr std::chrono::milliseconds kRankSpread{ 10 };
-constexpr std::size_t kMaxSpreadRanks = 100;
+constexpr std::size_t kMaxSpreadRanks = 100; ///< Higher ranks begin at 0 again.
 /** Time for which an instance tries to pull changes from peers that have them
  * before it reads the store: after an outage, all instances would read it. */
 constexpr std::chrono::milliseconds kPullPatience{ 600 };
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -22,10 +22,8 @@
   /** Time without a read by any instance after which the store counts as having
    * failed. */
   std::chrono::milliseconds mStoreOutageAfter{ 2'000 };
-  /** Time after the restore of the store for which it may list leaves that have
-   * left since its copy was made: it removes them after three missed
-   * heartbeats.
-   */
+  /** Time after a restore of the store in which it may list leaves that have
+   * left: it removes them after three missed heartbeats. */
   std::chrono::milliseconds mRestoredCopyPeriod{ 5'000 };
 };
 
@@ -132,7 +130,8 @@
   }
   /** Applies the content of a delta. */
   void ApplyDelta(const directory_delta& aDelta);
-  /** Advances the revision after a snapshot was applied. */
+  /** Advances the revision after a snapshot was applied, and remembers which
+   * revisions were skipped. */
   void SkipTo(model::store_revision aRevision);
   /** Removes leaves that were known from an incomplete delta before and are not
    * in a complete one that covers their revisions. */
--- a/test/serving/restored_fleet_test.cpp
+++ b/test/serving/restored_fleet_test.cpp
@@ -30,10 +30,10 @@
 constexpr seconds kSettleTime{ 12 };
 
 /** A store, and what is true of the leaves that write to it. */
-class restored_store
+class restorable_store
 {
 public:
-  explicit restored_store(std::mt19937& aRandom)
+  explicit restorable_store(std::mt19937& aRandom)
     : mRandom(aRandom)
   {
     mCopies.push_back(mContent);
@@ -335,7 +335,7 @@
   }
 
   std::mt19937 mRandom;
-  restored_store mStore;
+  restorable_store mStore;
   std::vector<instance> mInstances;
   std::vector<datagram> mSent;
   model::instant mNow{ seconds(100) };
