A new configuration is found also if all watches of it have fallen silent

Cause: from 1.0 to 13.0 s the three instances that watched the configuration for their data centres were cut off. Their watches stayed pending, they made no other call that could fail, so that they counted as reaching the store and nobody took over, until the watches were given up. Class: a wait without an end that anybody notices.

A configuration that is found so is told to all peers, as after a watch. A text that is known is not decoded again.

Test: silent_watches.ConfigurationsAreFoundWhileAllWatchesAreSilent failed before.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -323,6 +323,10 @@
   if (!mDirectoryCall.mBusy && aNow >= mDirectoryCall.mNextCall &&
       DirectoryDue(aNow)) {
     ReadDirectoryNow(aNow);
+    // The watches of the configuration may have fallen silent unnoticed.
+    if (mConfig && !mConfigCall.mBusy && aNow >= mConfigCall.mNextCall) {
+      ReadConfig(aNow >= mFreshReadsUntil);
+    }
   }
   WatchDirectory(aNow);
   mDirectory.RemoveMissing(aNow);
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -51,8 +51,12 @@
       if (error == nullptr) {
         const auto& text = std::get<config_text>(aResult);
         UpdateStoreEra(text.mRevision, "config");
-        AdoptConfig(text, "store");
+        const bool isFirst = mConfig == nullptr;
+        const bool adopted = AdoptConfig(text, "store");
         mConfigWatchRevision = std::max(mConfigWatchRevision, text.mRevision);
+        if (adopted && !isFirst) {
+          SendToPeers(mFleet.PossiblyLiveMembers(event_loop::Now()), {});
+        }
       }
     });
 }
@@ -143,6 +147,9 @@
 bool
 control_plane::AdoptConfig(const config_text& aText, const char* aSource)
 {
+  if (mConfig && aText.mRevision == mConfigText.mRevision) {
+    return false; // Not decoded again.
+  }
   auto decoded = mStore.DecodeConfig(aText.mText);
   if (const auto* error = std::get_if<std::string>(&decoded)) {
     mLog.Write(ops::log_level::Error,
--- a/test/adapter/restored_store_test.cpp
+++ b/test/adapter/restored_store_test.cpp
@@ -271,6 +271,20 @@
   EXPECT_LE(mStore.Calls() - callsAtStart - callsBefore, 2 * callsBefore);
 }
 
+class silent_watches : public restored_store
+{};
+
+/** The instances that watch the configuration were cut off, and nobody noticed:
+ * a version was not in force until their watches ended, 17 s later. */
+TEST_F(silent_watches, ConfigurationsAreFoundWhileAllWatchesAreSilent)
+{
+  ASSERT_TRUE(RunUntil([&] { return AllHaveVersion(1); }, seconds(10)));
+  Run(seconds(1));
+  mStore.SilenceWatches();
+  PutConfig(2);
+  EXPECT_TRUE(RunUntil([&] { return AllHaveVersion(2); }, kConfigBound));
+}
+
 INSTANTIATE_TEST_SUITE_P(Watches,
                          restored_store,
                          testing::Bool(),
--- a/test/adapter/standin_store.h
+++ b/test/adapter/standin_store.h
@@ -43,6 +43,9 @@
    * @param aEndWatches Whether pending watches end; otherwise they are never
    * answered. */
   void Restore(const copy& aCopy, bool aEndWatches);
+  /** Never answers watches from now on, as on connections that have fallen
+   * silent. */
+  void SilenceWatches() { mWatchesAreSilent = true; }
   std::uint64_t Revision() const { return mContent.mRevision; }
   int Calls() const { return mServer.mRequests; }
 
@@ -73,6 +76,7 @@
   /** Last change of each key, also of removed ones. */
   std::map<std::string, std::uint64_t> mLastChanges;
   std::vector<watch> mWatches;
+  bool mWatchesAreSilent = false;
   gateway::fake_leaf mServer;
 };
 
