A permit that arrives after a suspension is not used

Callers and leaves: a leaf that limits its rate could get requests beyond the limit. Cause: an instance that is suspended between its request for a permit and the reply reads the reply first when it wakes; the timer that ends the wait runs after the sockets are read, and the steady clock does not count the suspension. The permit was then used seconds after it had been issued.

--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -8,8 +8,6 @@
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
 
-#include <ctime>
-
 #include <algorithm>
 
 namespace monsooncroft::gateway {
@@ -35,12 +33,7 @@
 model::duration
 BootOffset(model::instant aNow)
 {
-  timespec boot{};
-  ::clock_gettime(CLOCK_BOOTTIME, &boot);
-  return std::chrono::duration_cast<model::duration>(
-           std::chrono::seconds(boot.tv_sec) +
-           std::chrono::nanoseconds(boot.tv_nsec)) -
-         aNow.time_since_epoch();
+  return event_loop::BootTime() - aNow.time_since_epoch();
 }
 
 std::uint64_t
@@ -207,7 +200,7 @@
     mPermits.OnRequest(aRequest, aFrom, event_loop::Now());
   };
   hooks.mOnPermitReply = [this](const serving::permit_reply& aReply) {
-    mPermits.OnReply(aReply, event_loop::Now());
+    mPermits.OnReply(aReply, event_loop::Now(), event_loop::BootTime());
   };
   hooks.mSuspectedLeaves = [this] {
     return mLeaves.SuspectedLeaves(event_loop::Now());
--- a/src/gateway/event_loop.cpp
+++ b/src/gateway/event_loop.cpp
@@ -6,6 +6,7 @@
 
 #include <uv.h>
 
+#include <ctime>
 #include <utility>
 
 namespace monsooncroft::gateway {
@@ -72,6 +73,15 @@
   return model::instant(model::duration(uv_hrtime() / 1000));
 }
 
+model::duration
+event_loop::BootTime()
+{
+  timespec boot{};
+  ::clock_gettime(CLOCK_BOOTTIME, &boot);
+  return std::chrono::duration_cast<model::duration>(
+    std::chrono::seconds(boot.tv_sec) + std::chrono::nanoseconds(boot.tv_nsec));
+}
+
 void
 event_loop::RecordEvent()
 {
--- a/src/gateway/event_loop_base.h
+++ b/src/gateway/event_loop_base.h
@@ -33,6 +33,9 @@
   void Stop();
   uv_loop_t* UvLoop() { return mLoop; }
   static model::instant Now();
+  /** Time since the machine's start; unlike Now(), it counts the time for which
+   * the machine was suspended. */
+  static model::duration BootTime();
   /** Must be called for each network event before it is handled. */
   void RecordEvent();
   /**
--- a/src/gateway/permit_client.cpp
+++ b/src/gateway/permit_client.cpp
@@ -20,6 +20,9 @@
 /** Several round trips between data centres, and the delay on a slow machine.
  */
 constexpr std::chrono::milliseconds kReplyTimeout{ 40 };
+/** Age of a permit at which it is no longer used: an issuer's bucket allows a
+ * burst of half a second. */
+constexpr std::chrono::milliseconds kMaxPermitAge{ 250 };
 /** Time for which an issuer that did not reply is not asked again. */
 constexpr std::chrono::milliseconds kSilencePeriod{ 500 };
 /** Longest time that a caller is told to wait. */
@@ -113,6 +116,7 @@
   aBatch.mTimer =
     std::make_unique<loop_timer>(mLoop, [this, id] { OnTimeout(id); });
   aBatch.mTimer->Start(kReplyTimeout);
+  aBatch.mRequestedAt = event_loop::BootTime();
   std::vector<serving::leaf_limit_report> limits;
   for (const serving::permit_item& item : aBatch.mRequest.mLeaves) {
     if (const auto report = mLimits.Report(item.mLeafId, aNow)) {
@@ -203,7 +207,9 @@
 }
 
 void
-permit_client::OnReply(const serving::permit_reply& aReply, model::instant aNow)
+permit_client::OnReply(const serving::permit_reply& aReply,
+                       model::instant aNow,
+                       model::duration aBootTime)
 {
   auto node = mPending.extract(aReply.mId);
   if (node.empty()) {
@@ -212,8 +218,15 @@
   }
   batch& settled = node.mapped();
   settled.mTimer->Stop();
-  if (aReply.mDecisions.size() != settled.mAttempts.size()) {
-    DecideLocally(settled, aNow); // The peer does not issue these permits.
+  // A permit counts for the time at which it was issued. The timer may not have
+  // run yet if the process or its machine was suspended.
+  const bool expired = aBootTime - settled.mRequestedAt > kMaxPermitAge;
+  if (expired) {
+    mMetrics.Count("permit_replies_late");
+  }
+  // Without decisions, the peer does not issue these permits.
+  if (expired || aReply.mDecisions.size() != settled.mAttempts.size()) {
+    DecideLocally(settled, aNow);
     return;
   }
   Settle(settled, aReply.mDecisions, aNow);
--- a/src/gateway/permit_client_base.h
+++ b/src/gateway/permit_client_base.h
@@ -75,7 +75,10 @@
   void OnRequest(const serving::permit_request& aRequest,
                  const model::endpoint& aFrom,
                  model::instant aNow);
-  void OnReply(const serving::permit_reply& aReply, model::instant aNow);
+  /** @param aBootTime See event_loop::BootTime(). */
+  void OnReply(const serving::permit_reply& aReply,
+               model::instant aNow,
+               model::duration aBootTime);
   void OnTimer(model::instant aNow);
 
 private:
@@ -85,6 +88,7 @@
     std::vector<leaf_attempt_ptr> mAttempts; ///< In the order of its leaves.
     model::endpoint mIssuer;
     std::unique_ptr<loop_timer> mTimer; ///< Ends the wait for the reply.
+    model::duration mRequestedAt{ 0 };  ///< Boot time of the request.
   };
 
   void Flush();
