Leaves that say in answers that they leave or want a pause are left alone

Server-Leaving: a leaf in use under an old registration got requests long after it had said in its answers that it was leaving; nothing read the field. Retry-After on a leaf's 503: the next request followed at once. Change: both are read as soon as an answer's head is complete, also of answers that fail, break off or come after the caller has left, and kept apart from the registrations, which may be older, lapse and return (leaf_notice_table). A departure ends only with a process that started later; it is told in gossip as long as the registration does not say so. A pause holds for the instance that was asked. Queued attempts go to other replicas; permits and connections ahead of work obey both. If all leaves of a shard pause, the query is answered without it where that suffices and refused at once otherwise, with the time at which enough shards return. Values that cannot be read are counted and logged once in 10 s; pauses are cut to 120 s (query_settings).

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -114,16 +114,19 @@
   }
   const std::string bytes =
     serving::EncodeMessage(MakeMessage(mFleet.LiveMembers(aNow).empty()));
-  // Limits are sent apart, so that both messages fit a datagram.
-  serving::fleet_message limits;
-  limits.mLeafLimits = mHooks.mLeafLimits();
-  limits.mMembers = { mFleet.Self() };
-  const std::string limitBytes =
-    limits.mLeafLimits.empty() ? "" : serving::EncodeMessage(limits);
+  // What leaves said is sent apart, so that both messages fit a datagram.
+  serving::fleet_message notices;
+  notices.mLeafLimits = mHooks.mLeafLimits();
+  notices.mLeafDepartures = mHooks.mLeafDepartures();
+  notices.mMembers = { mFleet.Self() };
+  const bool hasNotices =
+    !notices.mLeafLimits.empty() || !notices.mLeafDepartures.empty();
+  const std::string noticeBytes =
+    hasNotices ? serving::EncodeMessage(notices) : "";
   for (const model::endpoint& target : targets) {
     SendToPeer(target, bytes);
-    if (!limitBytes.empty()) {
-      SendToPeer(target, limitBytes);
+    if (hasNotices) {
+      SendToPeer(target, noticeBytes);
     }
   }
 }
@@ -218,6 +221,9 @@
   for (const serving::leaf_limit_report& report : message->mLeafLimits) {
     mHooks.mOnLeafLimit(report);
   }
+  for (const serving::leaf_departure& departure : message->mLeafDepartures) {
+    mHooks.mOnLeafDeparture(departure);
+  }
   for (const serving::permit_request& request : message->mPermitRequests) {
     mHooks.mOnPermitRequest(request, aFrom);
   }
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -50,6 +50,9 @@
     std::function<void(const serving::leaf_limit_report&)> mOnLeafLimit;
     /** Limits to be sent in the next gossip round. */
     std::function<std::vector<serving::leaf_limit_report>()> mLeafLimits;
+    std::function<void(const serving::leaf_departure&)> mOnLeafDeparture;
+    /** Departures to be sent in the next gossip round. */
+    std::function<std::vector<serving::leaf_departure>()> mLeafDepartures;
     std::function<void(const serving::permit_request&, const model::endpoint&)>
       mOnPermitRequest;
     std::function<void(const serving::permit_reply&)> mOnPermitReply;
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -7,6 +7,7 @@
 #include "cluster/rendezvous_func.h"
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
+#include "serving/retry_after_func.h"
 
 #include <algorithm>
 
@@ -26,6 +27,10 @@
 constexpr std::size_t kMaxObservations = 48;
 /** Leaves' limits in one message, so that it fits a datagram. */
 constexpr std::size_t kMaxLimitReports = 40;
+/** Departures of leaves in one message, so that it fits a datagram. */
+constexpr std::size_t kMaxDepartureReports = 16;
+/** Period of log entries about fields that cannot be read. */
+constexpr std::chrono::seconds kMalformedFieldLogPeriod{ 10 };
 /** Fraction of the demand that must be servable to be ready while a data centre
  * is unreachable. */
 constexpr double kMinServableFraction = 0.5;
@@ -195,6 +200,12 @@
   hooks.mLeafLimits = [this] {
     return mLimits.NextReports(kMaxLimitReports, event_loop::Now());
   };
+  hooks.mOnLeafDeparture = [this](const serving::leaf_departure& aReport) {
+    OnPeerDeparture(aReport);
+  };
+  hooks.mLeafDepartures = [this] {
+    return mLeaves.NextDepartures(kMaxDepartureReports);
+  };
   hooks.mOnPermitRequest = [this](const serving::permit_request& aRequest,
                                   const model::endpoint& aFrom) {
     mPermits.OnRequest(aRequest, aFrom, event_loop::Now());
@@ -239,6 +250,7 @@
 {
   mQuarantine.OnTimer(WallNow());
   mPermits.OnTimer(aNow);
+  mLeaves.ForgetOldNotices(aNow);
   mControlPlane.OnGossipRound(aNow);
   const serving::fleet_size instances = mControlPlane.Fleet().FleetSize(aNow);
   mRetryBudget.SetInstanceCount(instances.mTotal);
@@ -440,6 +452,87 @@
              { { "leaf", aLeaf.Entry().mId }, { "value", aValue } });
 }
 
+void
+entry_instance::OnLeavingNotice(const leaf_endpoint& aLeaf,
+                                const std::string& aValue)
+{
+  if (aValue != "1") {
+    if (aValue != "0") {
+      OnMalformedField(aLeaf, "leaving", aValue);
+    }
+    return;
+  }
+  if (mLeaves.OnLeaving(aLeaf.Entry(), event_loop::Now(), WallNow())) {
+    LogDeparture(aLeaf.Entry(), "answer");
+  }
+}
+
+void
+entry_instance::OnPeerDeparture(const serving::leaf_departure& aReport)
+{
+  if (mLeaves.OnPeerReport(aReport, event_loop::Now())) {
+    LogDeparture(mLeaves.Find(aReport.mLeafId)->Entry(), "peer");
+  }
+}
+
+void
+entry_instance::LogDeparture(const serving::leaf_registration& aLeaf,
+                             const char* aSource)
+{
+  mMetrics.Count("leaf_departures", { { "source", aSource } });
+  mLog.Write(ops::log_level::Info,
+             "leaf_leaving",
+             { { "leaf", aLeaf.mId },
+               { "service", aLeaf.mService },
+               { "started_ms", static_cast<long>(aLeaf.mIncarnation) },
+               { "source", std::string(aSource) } });
+}
+
+void
+entry_instance::OnPauseNotice(const leaf_endpoint& aLeaf,
+                              const std::string& aValue)
+{
+  const auto pause =
+    serving::ParseRetryAfter(aValue, mSettings.mQuery.mMaxLeafPause);
+  if (!pause) {
+    OnMalformedField(aLeaf, "retry_after", aValue);
+    return;
+  }
+  if (pause->mIsCut) {
+    OnMalformedField(aLeaf, "retry_after", aValue);
+  }
+  const bool starts = mLeaves.OnPause(
+    aLeaf.Entry(), pause->mDuration, event_loop::Now(), WallNow());
+  mMetrics.Count("leaf_pauses");
+  if (starts) {
+    mLog.Write(
+      ops::log_level::Info,
+      "leaf_pause",
+      { { "leaf", aLeaf.Entry().mId },
+        { "service", aLeaf.Entry().mService },
+        { "ms", static_cast<double>(pause->mDuration.count()) / 1000.0 } });
+  }
+}
+
+void
+entry_instance::OnMalformedField(const leaf_endpoint& aLeaf,
+                                 const char* aField,
+                                 const std::string& aValue)
+{
+  constexpr std::size_t kMaxLoggedBytes = 80;
+  mMetrics.Count("leaf_fields_malformed", { { "field", aField } });
+  const model::instant now = event_loop::Now();
+  if (now < mNextMalformedFieldLog) {
+    return;
+  }
+  mNextMalformedFieldLog = now + kMalformedFieldLogPeriod;
+  mLog.Write(ops::log_level::Warning,
+             "leaf_field_malformed",
+             { { "leaf", aLeaf.Entry().mId },
+               { "field", std::string(aField) },
+               { "value", aValue.substr(0, kMaxLoggedBytes) } });
+}
+
 void
 entry_instance::OnLeafError(const leaf_endpoint& aLeaf)
 {
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -50,6 +50,10 @@
                    std::optional<double> aPerSecond) override;
   void OnRateLimitMalformed(const leaf_endpoint& aLeaf,
                             const std::string& aValue) override;
+  void OnLeavingNotice(const leaf_endpoint& aLeaf,
+                       const std::string& aValue) override;
+  void OnPauseNotice(const leaf_endpoint& aLeaf,
+                     const std::string& aValue) override;
   void OnLeafError(const leaf_endpoint& aLeaf) override;
   void OnLeafCrashed(const leaf_endpoint& aLeaf,
                      const once::suspicion& aSuspicion) override;
@@ -69,6 +73,13 @@
   void ForgetLimits(const serving::leaf_directory::changes& aChanges);
   void OnPeerLimit(const serving::leaf_limit_report& aReport);
   void LogLimit(const leaf_endpoint& aLeaf, const char* aSource) const;
+  void OnPeerDeparture(const serving::leaf_departure& aReport);
+  void LogDeparture(const serving::leaf_registration& aLeaf,
+                    const char* aSource);
+  /** Counts a field that cannot be read, and logs it once in a while. */
+  void OnMalformedField(const leaf_endpoint& aLeaf,
+                        const char* aField,
+                        const std::string& aValue);
   void LogReachability(const std::string& aDataCentre,
                        bool aUnreachable,
                        const std::string& aReason) const;
@@ -96,6 +107,7 @@
   std::vector<std::string> mPendingUnreachable;
   model::instant mStartedAt;
   model::instant mNextGossipRound;
+  model::instant mNextMalformedFieldLog;
   std::optional<stop_sequence> mStop;
   bool mReady = false;
   model::duration mBootOffset{ 0 }; ///< Boot clock minus steady clock.
--- a/src/gateway/header_names_type.h
+++ b/src/gateway/header_names_type.h
@@ -25,6 +25,8 @@
   /** Requests per second that the answering leaf accepts from all instances
    * together; absent if it accepts any rate. */
   std::string mRateLimit;
+  /** "1" in all answers of a leaf that is leaving. */
+  std::string mLeaving;
 
   bool operator==(const header_names&) const = default;
 };
--- a/src/gateway/leaf_connection.cpp
+++ b/src/gateway/leaf_connection.cpp
@@ -128,6 +128,7 @@
 {
   while (!aBytes.empty() && mState == state::Busy) {
     aBytes.remove_prefix(mReader.Feed(aBytes));
+    ReadNotices();
     if (mReader.State() >= http_reader::state::Malformed) {
       Close(attempt_end::OutcomeUnknown, "malformed answer");
       return;
@@ -154,6 +155,7 @@
 {
   http_message answer = std::move(mReader.Message());
   mReader.NextMessage();
+  mNoticesRead = false;
   if (answer.mStatus / 100 == 1) {
     if (++mInterimAnswers > kMaxInterimAnswers) {
       Close(attempt_end::OutcomeUnknown, "interim answers without end");
@@ -206,6 +208,25 @@
   mLeaf.Dispatch(event_loop::Now());
 }
 
+void
+leaf_connection::ReadNotices()
+{
+  const http_message& head = mReader.Message();
+  // No status: the head is incomplete. 421: another leaf has this address.
+  if (mNoticesRead || head.mStatus == 0 || head.mStatus == 421) {
+    return;
+  }
+  mNoticesRead = true;
+  if (const std::string* value = head.Find(mHeaderNames.mLeaving)) {
+    mLeaf.OnLeavingNotice(*value);
+  }
+  const std::string* pause =
+    head.mStatus == 503 ? head.Find("Retry-After") : nullptr;
+  if (pause != nullptr) {
+    mLeaf.OnPauseNotice(*pause);
+  }
+}
+
 void
 leaf_connection::ReadKeepAliveTimeout(const http_message& aAnswer)
 {
--- a/src/gateway/leaf_connection_base.h
+++ b/src/gateway/leaf_connection_base.h
@@ -60,6 +60,9 @@
   void OnMessage();
   void ReadKeepAliveTimeout(const http_message& aAnswer);
   void ReadRateLimit(const http_message& aAnswer);
+  /** Reads what the leaf says of itself as soon as an answer's head is
+   * complete, whatever becomes of the answer. */
+  void ReadNotices();
 
   event_loop& mLoop;
   leaf_endpoint& mLeaf;
@@ -76,6 +79,7 @@
   int mSkippedAnswers = 0;
   int mInterimAnswers = 0;     ///< Read during the current request.
   bool mReceivedBytes = false; ///< The leaf has sent bytes on this connection.
+  bool mNoticesRead = false;   ///< Of the answer that is being read.
 };
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/leaf_endpoint.cpp
+++ b/src/gateway/leaf_endpoint.cpp
@@ -72,6 +72,21 @@
   mLoad.SetColdUntil(aNow + std::chrono::milliseconds(aEntry.mColdRemainingMs));
 }
 
+void
+leaf_endpoint::SetNotices(bool aLeaving,
+                          model::instant aPausedUntil,
+                          model::instant aNow)
+{
+  const bool leavesNow = aLeaving && !mLeaving;
+  mLeaving = aLeaving;
+  mPausedUntil = aPausedUntil;
+  if (leavesNow) {
+    FailQueued("the leaf is leaving"); // They are sent to other replicas.
+  } else if (IsPaused(aNow)) {
+    FailQueued("the leaf asked for a pause");
+  }
+}
+
 void
 leaf_endpoint::Submit(leaf_attempt_ptr aAttempt, model::instant aNow)
 {
@@ -197,7 +212,7 @@
     CloseIdle(aNow);
   }
   if (aMayPreconnect && mAllocation.mKeepOpen && mConnections.empty() &&
-      aNow >= mPreconnectFrom && AcceptsWork(aNow) &&
+      aNow >= mPreconnectFrom && AcceptsWork(aNow) && !IsPaused(aNow) &&
       !mLoad.InConnectBackoff(aNow)) {
     OpenConnection();
   }
@@ -353,6 +368,28 @@
            : std::nullopt;
 }
 
+std::optional<model::instant>
+leaf_endpoint::UnavailableUntil(int aTargetLatencyMs, model::instant aNow) const
+{
+  const auto overLimit = OverLimitUntil(aTargetLatencyMs, aNow);
+  if (!IsPaused(aNow)) {
+    return overLimit;
+  }
+  return std::max(mPausedUntil, overLimit.value_or(mPausedUntil));
+}
+
+void
+leaf_endpoint::OnLeavingNotice(const std::string& aValue)
+{
+  mObserver.OnLeavingNotice(*this, aValue);
+}
+
+void
+leaf_endpoint::OnPauseNotice(const std::string& aValue)
+{
+  mObserver.OnPauseNotice(*this, aValue);
+}
+
 void
 leaf_endpoint::OnRateLimit(std::optional<double> aPerSecond)
 {
--- a/src/gateway/leaf_endpoint_base.h
+++ b/src/gateway/leaf_endpoint_base.h
@@ -60,13 +60,24 @@
   {
     mAllocation = aAllocation;
   }
-  /** Whether new attempts may be submitted. */
+  /** Whether the leaf takes part in serving; it may be paused or over its rate
+   * limit. */
   bool AcceptsWork(model::instant aNow) const
   {
     const bool limitReached =
       aNow < mConnectionLimitUntil && mConnections.empty();
-    return !mEntry.mDraining && !mMisdirected && !limitReached;
+    return !mEntry.mDraining && !mLeaving && !mMisdirected && !limitReached;
   }
+  bool IsLeaving() const { return mEntry.mDraining || mLeaving; }
+  /**
+   * Sets what the leaf has said of itself. Queued attempts that may not be sent
+   * any more end.
+   * @param aPausedUntil No request is sent before that time.
+   */
+  void SetNotices(bool aLeaving,
+                  model::instant aPausedUntil,
+                  model::instant aNow);
+  bool IsPaused(model::instant aNow) const { return aNow < mPausedUntil; }
   /** The leaf's rate limit allows no request of this target latency, or of less
    * urgent ones, before that time. */
   void SetOverLimit(int aTargetLatencyMs, model::instant aUntil);
@@ -74,10 +85,14 @@
    * nothing if it may allow one now. */
   std::optional<model::instant> OverLimitUntil(int aTargetLatencyMs,
                                                model::instant aNow) const;
+  /** Until when a leaf that takes part in serving accepts no request of this
+   * target latency; nothing if it may accept one now. */
+  std::optional<model::instant> UnavailableUntil(int aTargetLatencyMs,
+                                                 model::instant aNow) const;
   /** Whether a request of this target latency may be submitted. */
   bool AcceptsRequest(int aTargetLatencyMs, model::instant aNow) const
   {
-    return AcceptsWork(aNow) && !OverLimitUntil(aTargetLatencyMs, aNow);
+    return AcceptsWork(aNow) && !UnavailableUntil(aTargetLatencyMs, aNow);
   }
   serving::leaf_health& Load() { return mLoad; }
   const serving::leaf_health& Load() const { return mLoad; }
@@ -119,6 +134,10 @@
   /** @param aPerSecond The limit that an answer names; nothing if it names
    * none. */
   void OnRateLimit(std::optional<double> aPerSecond);
+  /** An answer says whether the leaf is leaving. */
+  void OnLeavingNotice(const std::string& aValue);
+  /** The leaf turned a request away and named a time to wait. */
+  void OnPauseNotice(const std::string& aValue);
   /** The limit in an answer is no positive number. */
   void OnRateLimitMalformed(const std::string& aValue);
   bool HasConnection(const leaf_connection& aConnection) const;
@@ -143,6 +162,8 @@
   model::duration mPreconnectDelay; ///< Differs between instances.
   serving::replica_connections mAllocation{ 1, true };
   bool mMisdirected = false; ///< Another leaf answers at this leaf's address.
+  bool mLeaving = false;     ///< The leaf has said so in an answer.
+  model::instant mPausedUntil;
   bool mRetired = false;
   bool mProbing = false; ///< A connection ended during a request.
   once::crash_detector mCrashDetector;
@@ -186,6 +207,12 @@
                            std::optional<double> aPerSecond) = 0;
   virtual void OnRateLimitMalformed(const leaf_endpoint& aLeaf,
                                     const std::string& aValue) = 0;
+  /** An answer of the leaf says whether it is leaving. */
+  virtual void OnLeavingNotice(const leaf_endpoint& aLeaf,
+                               const std::string& aValue) = 0;
+  /** The leaf turned a request away and named a time to wait. */
+  virtual void OnPauseNotice(const leaf_endpoint& aLeaf,
+                             const std::string& aValue) = 0;
   /** The leaf refused a request or failed. */
   virtual void OnLeafError(const leaf_endpoint& aLeaf) = 0;
   /** The leaf crashed during a request that may have caused the crash. */
--- a/src/gateway/leaf_table.cpp
+++ b/src/gateway/leaf_table.cpp
@@ -80,6 +80,7 @@
       found->second->Update(entry, aNow);
       found->second->Load().SetInOtherDataCentre(entry.mDataCentre !=
                                                  mDataCentre);
+      ApplyNotices(entry.mId, aNow);
       continue;
     }
     Remove(entry.mId);
@@ -88,9 +89,72 @@
     leaf->Load().SetInOtherDataCentre(entry.mDataCentre != mDataCentre);
     mByService[entry.mService].push_back(leaf);
     mById.emplace(entry.mId, std::move(leaf));
+    ApplyNotices(entry.mId, aNow);
   }
 }
 
+void
+leaf_table::ApplyNotices(const std::string& aId, model::instant aNow)
+{
+  const auto found = mById.find(aId);
+  if (found != mById.end()) {
+    const leaf_endpoint_ptr leaf = found->second;
+    leaf->SetNotices(mNotices.IsLeaving(leaf->Entry()),
+                     mNotices.PausedUntil(leaf->Entry()),
+                     aNow);
+  }
+}
+
+bool
+leaf_table::OnLeaving(const serving::leaf_registration& aLeaf,
+                      model::instant aNow,
+                      model::wall_instant aWallNow)
+{
+  const bool isNew = mNotices.OnLeaving(aLeaf, aWallNow);
+  ApplyNotices(aLeaf.mId, aNow);
+  return isNew;
+}
+
+bool
+leaf_table::OnPeerReport(const serving::leaf_departure& aReport,
+                         model::instant aNow)
+{
+  const leaf_endpoint* leaf = Find(aReport.mLeafId);
+  const bool wasLeaving = leaf != nullptr && leaf->IsLeaving();
+  if (!mNotices.OnReport(aReport)) {
+    return false;
+  }
+  ApplyNotices(aReport.mLeafId, aNow);
+  return leaf != nullptr && !wasLeaving && leaf->IsLeaving();
+}
+
+bool
+leaf_table::OnPause(const serving::leaf_registration& aLeaf,
+                    model::duration aPause,
+                    model::instant aNow,
+                    model::wall_instant aWallNow)
+{
+  const bool isNew = mNotices.OnPause(aLeaf, aPause, aNow, aWallNow);
+  ApplyNotices(aLeaf.mId, aNow);
+  return isNew;
+}
+
+std::vector<serving::leaf_departure>
+leaf_table::NextDepartures(std::size_t aMaxCount)
+{
+  return mNotices.NextReports(aMaxCount, [this](const std::string& aId) {
+    const leaf_endpoint* leaf = Find(aId);
+    return leaf != nullptr && leaf->IsLeaving() && !leaf->Entry().mDraining;
+  });
+}
+
+void
+leaf_table::ForgetOldNotices(model::instant aNow)
+{
+  mNotices.OnTimer(
+    [this](const std::string& aId) { return mById.contains(aId); }, aNow);
+}
+
 void
 leaf_table::AllocateConnections(const serving::routing_config* aConfig,
                                 const serving::fleet_size& aInstances)
--- a/src/gateway/leaf_table_base.h
+++ b/src/gateway/leaf_table_base.h
@@ -9,6 +9,7 @@
 #include "serving/data_centre_reachability_base.h"
 #include "serving/fleet_type.h"
 #include "serving/leaf_directory_base.h"
+#include "serving/leaf_notice_table_base.h"
 #include "serving/recent_demand_base.h"
 #include "serving/routing_config_base.h"
 
@@ -45,6 +46,26 @@
    * recently lost ones. */
   void AllocateConnections(const serving::routing_config* aConfig,
                            const serving::fleet_size& aInstances);
+  /** A leaf said in an answer that it is leaving. @return Whether this was not
+   * known. */
+  bool OnLeaving(const serving::leaf_registration& aLeaf,
+                 model::instant aNow,
+                 model::wall_instant aWallNow);
+  /** A peer has got such an answer. @return Whether a leaf in use is leaving
+   * that was not known to. */
+  bool OnPeerReport(const serving::leaf_departure& aReport,
+                    model::instant aNow);
+  /** A leaf asked this instance for a pause. @return Whether it was not paused
+   * before. */
+  bool OnPause(const serving::leaf_registration& aLeaf,
+               model::duration aPause,
+               model::instant aNow,
+               model::wall_instant aWallNow);
+  /** Leaves that are leaving but registered as in use, for peers. Successive
+   * calls return each of them in turn. */
+  std::vector<serving::leaf_departure> NextDepartures(std::size_t aMaxCount);
+  /** Forgets what leaves said that are gone for long. */
+  void ForgetOldNotices(model::instant aNow);
   const leaf_list& LeavesOf(const std::string& aService) const;
   leaf_endpoint* Find(const std::string& aId);
   void OnTick(const serving::routing_config* aConfig, model::instant aNow);
@@ -69,6 +90,7 @@
 private:
   bool HasAnsweringLeaf(const std::string& aService, model::instant aNow) const;
   void Remove(const std::string& aId);
+  void ApplyNotices(const std::string& aId, model::instant aNow);
   void UpdateReachability(model::instant aNow);
 
   event_loop& mLoop;
@@ -81,6 +103,7 @@
   std::map<std::string, serving::data_centre_reachability>
     mReachability; ///< By data centre.
   std::size_t mProbeCount = 0;
+  serving::leaf_notice_table mNotices;
   leaf_list mRetired; ///< Removed leaves, until their last attempt has ended.
 };
 
--- a/src/gateway/permit_client.cpp
+++ b/src/gateway/permit_client.cpp
@@ -176,8 +176,9 @@
     if (!attempt->mObserver) {
       continue; // The request has ended meanwhile.
     }
-    if (leaf == nullptr || !leaf->AcceptsWork(aNow)) {
-      attempt->End({ attempt_end::NotSent, {}, "the leaf is gone" });
+    if (leaf == nullptr || !leaf->AcceptsWork(aNow) || leaf->IsPaused(aNow)) {
+      attempt->End(
+        { attempt_end::NotSent, {}, "the leaf is gone, leaving or paused" });
     } else if (!granted) {
       attempt->End({ attempt_end::NotSent, {}, kOverLimit });
     } else {
--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -83,12 +83,6 @@
     const leaf_endpoint* leaf = ChooseLeaf(index, false, aNow);
     unreachable +=
       leaf == nullptr || leaf->Load().IsKnownUnreachable(aNow) ? 1 : 0;
-    if (leaf == nullptr && IsOverLimit(index, aNow)) {
-      mReturnDelay =
-        std::max(mReturnDelay,
-                 mContext.mPermits.ReturnDelay(
-                   mPlan.mServices[index], TargetLatencyMs(), aNow));
-    }
     expected.push_back(leaf == nullptr ? model::duration::max()
                                        : leaf->Load().ExpectedLatency(
                                            mPlan.mLatency->Mean(), aNow));
@@ -176,11 +170,7 @@
 query_execution::StartAttempt(std::size_t aShardIndex, model::instant aNow)
 {
   leaf_endpoint* leaf = ChooseLeaf(aShardIndex, false, aNow);
-  if (leaf == nullptr && IsOverLimit(aShardIndex, aNow)) {
-    mReturnDelay =
-      std::max(mReturnDelay,
-               mContext.mPermits.ReturnDelay(
-                 mPlan.mServices[aShardIndex], TargetLatencyMs(), aNow));
+  if (leaf == nullptr && IsUnavailable(aShardIndex, aNow)) {
     FailShard(aShardIndex, aNow);
     return false;
   }
@@ -199,18 +189,51 @@
 }
 
 bool
-query_execution::IsOverLimit(std::size_t aShardIndex, model::instant aNow) const
+query_execution::IsUnavailable(std::size_t aShardIndex,
+                               model::instant aNow) const
 {
   const int latencyMs = TargetLatencyMs();
-  bool overLimit = false;
+  bool unavailable = false;
   for (const leaf_endpoint_ptr& leaf :
        mContext.mLeaves.LeavesOf(mPlan.mServices[aShardIndex])) {
     if (leaf->AcceptsRequest(latencyMs, aNow)) {
       return false;
     }
-    overLimit = overLimit || leaf->OverLimitUntil(latencyMs, aNow);
+    unavailable = unavailable || (!leaf->IsLeaving() &&
+                                  leaf->UnavailableUntil(latencyMs, aNow));
+  }
+  return unavailable;
+}
+
+model::duration
+query_execution::ShardReturnDelay(std::size_t aShardIndex, model::instant aNow)
+{
+  const std::string& service = mPlan.mServices[aShardIndex];
+  bool paused = false;
+  std::optional<model::instant> earliest;
+  for (const leaf_endpoint_ptr& leaf : mContext.mLeaves.LeavesOf(service)) {
+    if (leaf->AcceptsRequest(TargetLatencyMs(), aNow)) {
+      return model::duration(0);
+    }
+    const auto until = leaf->UnavailableUntil(TargetLatencyMs(), aNow);
+    if (!leaf->IsLeaving() && until) {
+      paused = paused || leaf->IsPaused(aNow);
+      earliest = earliest ? std::min(*earliest, *until) : *until;
+    }
+  }
+  if (!earliest) {
+    return mContext.mSettings.mRetryAfter;
+  }
+  const auto limitDelay =
+    mContext.mPermits.ReturnDelay(service, TargetLatencyMs(), aNow);
+  if (!paused) {
+    return limitDelay;
   }
-  return overLimit;
+  // Urgent requests come back first.
+  const model::duration pauseDelay =
+    *earliest - aNow + mPlan.mRoute->mTargetLatency;
+  return limitDelay.count() == 0 ? pauseDelay
+                                 : std::min(limitDelay, pauseDelay);
 }
 
 void
--- a/src/gateway/query_execution_answer.cpp
+++ b/src/gateway/query_execution_answer.cpp
@@ -9,6 +9,7 @@
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
 #include "serving/record_merge_func.h"
+#include "serving/retry_after_func.h"
 
 #include <algorithm>
 
@@ -97,11 +98,16 @@
   if (!sent) {
     outcome = "not_run";
     response.mStatus = 503;
+    std::vector<model::duration> delays;
+    delays.reserve(mShards.size());
+    for (std::size_t index = 0; index < mShards.size(); ++index) {
+      delays.push_back(ShardReturnDelay(index, aNow));
+    }
+    const auto delay = std::chrono::ceil<std::chrono::milliseconds>(
+      serving::ReturnDelay(std::move(delays), mRequirements.mRequiredShards));
     response.mFields.push_back(
       { "Retry-After",
-        FormatSeconds(std::max(
-          mContext.mSettings.mRetryAfter,
-          std::chrono::ceil<std::chrono::milliseconds>(mReturnDelay))) });
+        FormatSeconds(std::max(mContext.mSettings.mRetryAfter, delay)) });
   } else if (!mPlan.mRoute->IsFanOut() && mLeafFailure.mStatus != 0) {
     response = ForwardedAnswer(mLeafFailure);
   } else {
--- a/src/gateway/query_execution_base.h
+++ b/src/gateway/query_execution_base.h
@@ -73,8 +73,12 @@
   void SendHeldShards(model::instant aNow);
   /** The shorter the route's target latency, the more urgent its requests. */
   int TargetLatencyMs() const;
-  /** Whether all usable leaves of a shard are over their rate limit. */
-  bool IsOverLimit(std::size_t aShardIndex, model::instant aNow) const;
+  /** Whether all usable leaves of a shard are over their rate limit or have
+   * asked for a pause. */
+  bool IsUnavailable(std::size_t aShardIndex, model::instant aNow) const;
+  /** Time until a leaf of the shard accepts this request; 0 if one does now. */
+  model::duration ShardReturnDelay(std::size_t aShardIndex,
+                                   model::instant aNow);
   void FailShard(std::size_t aShardIndex, model::instant aNow);
   bool StartAttempt(std::size_t aShardIndex, model::instant aNow);
   void SendAttempt(std::size_t aShardIndex,
@@ -115,8 +119,6 @@
   bool mMayHaveRun = false;
   bool mDone = false;
   const char* mLastReason = "";
-  /** When callers should return; 0 if no leaf is over its rate limit. */
-  model::duration mReturnDelay{ 0 };
   /** Failure answered by a leaf, forwarded if no attempt succeeds. */
   http_message mLeafFailure;
   /** Keeps this object alive until the answer. */
--- a/src/gateway/query_settings_type.h
+++ b/src/gateway/query_settings_type.h
@@ -25,6 +25,8 @@
   std::chrono::milliseconds mRetryAfter{ 120 };
   /** Delay before a shard without a usable leaf selects one again. */
   std::chrono::milliseconds mLeafRetryDelay{ 15 };
+  /** Longest pause that a leaf may ask for; a longer one is cut to it. */
+  std::chrono::milliseconds mMaxLeafPause{ 120'000 };
 
   bool operator==(const query_settings&) const = default;
 };
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -120,6 +120,8 @@
 ToArray(const permit_decision& aDecision);
 json
 ToArray(const permit_reply& aReply);
+json
+ToArray(const leaf_departure& aDeparture);
 
 template<class T>
 json
@@ -190,6 +192,12 @@
                        aReport.mAgeMs });
 }
 
+json
+ToArray(const leaf_departure& aDeparture)
+{
+  return json::array({ aDeparture.mLeafId, aDeparture.mStartedBy });
+}
+
 json
 ToArray(const permit_item& aItem)
 {
@@ -267,6 +275,14 @@
   for (const json& reply : aArray.at(11)) {
     aMessage.mPermitReplies.push_back(ToPermitReply(reply));
   }
+  if (aArray.size() <= 12) {
+    return;
+  }
+  for (const json& departure : aArray.at(12)) {
+    aMessage.mLeafDepartures.push_back(
+      { departure.at(0).get<std::string>(),
+        departure.at(1).get<std::uint64_t>() });
+  }
 }
 
 std::string
@@ -303,12 +319,16 @@
                              ToArrays(aMessage.mLeafObservations),
                              aMessage.mUnreachableDataCentres,
                              ToArray(aMessage.mHeartbeats) });
+  const bool hasDepartures = !aMessage.mLeafDepartures.empty();
   if (!aMessage.mLeafLimits.empty() || !aMessage.mPermitRequests.empty() ||
-      !aMessage.mPermitReplies.empty()) {
+      !aMessage.mPermitReplies.empty() || hasDepartures) {
     array.push_back(ToArrays(aMessage.mLeafLimits));
     array.push_back(ToArrays(aMessage.mPermitRequests));
     array.push_back(ToArrays(aMessage.mPermitReplies));
   }
+  if (hasDepartures) {
+    array.push_back(ToArrays(aMessage.mLeafDepartures));
+  }
   return Pack(array);
 }
 
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -7,6 +7,7 @@
 
 #include "model/endpoint_type.h"
 #include "once/quarantine_type.h"
+#include "serving/leaf_departure_type.h"
 #include "serving/leaf_limit_type.h"
 #include "serving/leaf_registration_type.h"
 #include "serving/permit_type.h"
@@ -80,6 +81,7 @@
   std::vector<leaf_limit_report> mLeafLimits;
   std::vector<permit_request> mPermitRequests; ///< For the receiver to decide.
   std::vector<permit_reply> mPermitReplies;
+  std::vector<leaf_departure> mLeafDepartures;
 
   bool operator==(const fleet_message&) const = default;
 };
--- a/test/adapter/restored_store_test.cpp
+++ b/test/adapter/restored_store_test.cpp
@@ -116,6 +116,9 @@
     hooks.mLeafLimits = [] {
       return std::vector<serving::leaf_limit_report>{};
     };
+    hooks.mLeafDepartures = [] {
+      return std::vector<serving::leaf_departure>{};
+    };
     return hooks;
   }
 
--- a/test/gateway/control_plane_test.cpp
+++ b/test/gateway/control_plane_test.cpp
@@ -73,6 +73,9 @@
     hooks.mLeafLimits = [] {
       return std::vector<serving::leaf_limit_report>{};
     };
+    hooks.mLeafDepartures = [] {
+      return std::vector<serving::leaf_departure>{};
+    };
     return std::make_unique<control_plane>(
       mLoop,
       mStores[aIndex],
--- a/test/gateway/permit_client_test.cpp
+++ b/test/gateway/permit_client_test.cpp
@@ -73,6 +73,14 @@
                             const std::string& /*aValue*/) override
   {
   }
+  void OnLeavingNotice(const leaf_endpoint& /*aLeaf*/,
+                       const std::string& /*aValue*/) override
+  {
+  }
+  void OnPauseNotice(const leaf_endpoint& /*aLeaf*/,
+                     const std::string& /*aValue*/) override
+  {
+  }
   void OnLeafError(const leaf_endpoint& /*aLeaf*/) override {}
   void OnLeafCrashed(const leaf_endpoint& /*aLeaf*/,
                      const once::suspicion& /*aSuspicion*/) override
