A malformed answer of the store does not end the process

Callers lost all requests in progress: the instance ended with an assertion of the HTTP parser. Cause: after a malformed answer, the channel to the store starts the next message, which resumed the parser in its error state; the library does not allow that. Initializing the parser suffices. HttpReader.IsUsableAfterMalformedInput aborted before and passes now.

--- a/src/gateway/http_reader.cpp
+++ b/src/gateway/http_reader.cpp
@@ -238,9 +238,9 @@
 void
 http_reader::NextMessage()
 {
-  http_parser_pause(&mParser->mParser, 0);
   const auto type = static_cast<http_parser_type>(mParser->mParser.type);
-  // A close-delimited response leaves the library's parser in its dead state.
+  // A close-delimited response leaves the library's parser in its dead state, a
+  // malformed one in an error state in which it must not be resumed.
   http_parser_init(&mParser->mParser, type);
   mParser->mMessage = {};
   mParser->mState = state::Empty;
--- a/test/gateway/http_reader_test.cpp
+++ b/test/gateway/http_reader_test.cpp
@@ -99,6 +99,19 @@
   EXPECT_NE(reader.State(), state::Complete);
 }
 
+/** The reader of a channel to the store is used again after an answer that is
+ * no HTTP: the library ended the process (an assertion). */
+TEST(HttpReader, IsUsableAfterMalformedInput)
+{
+  http_reader reader(http_reader::role::Responses);
+  reader.Feed("no answer\r\n\r\n");
+  EXPECT_EQ(reader.State(), http_reader::state::Malformed);
+  reader.NextMessage();
+  reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+  EXPECT_EQ(reader.State(), http_reader::state::Complete);
+  EXPECT_EQ(reader.Message().mBody, "x");
+}
+
 TEST(HttpReader, ExtraResponseIsNotConsumed)
 {
   const std::string one = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
