--- a/src/ctl/request_timeline.cpp
+++ b/src/ctl/request_timeline.cpp
@@ -96,7 +96,8 @@
     { "not_ready", "readiness" },
     { "stopping", "stop" },
     { "started", "start" },
-    { "suspended", "suspension" }
+    { "suspended", "suspension" },
+    { "root_role", "root" }
   };
   const auto found = kStateKinds.find(aEvent);
   return found == kStateKinds.end() ? std::string() : found->second;
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -32,6 +32,14 @@
   }
 }
 
+void
+exchange::SendProcessing()
+{
+  if (mConnection != nullptr) {
+    mConnection->SendProcessing();
+  }
+}
+
 void
 exchange::Detach()
 {
@@ -143,6 +151,12 @@
   }
 }
 
+void
+caller_connection::SendProcessing()
+{
+  mStream->Write("HTTP/1.1 102 Processing\r\n\r\n");
+}
+
 void
 caller_connection::Refuse(int aStatus)
 {
--- a/src/gateway/caller_connection_base.h
+++ b/src/gateway/caller_connection_base.h
@@ -31,6 +31,7 @@
   void OnEnd(stream_end aEnd) override;
 
   void Respond(const http_response& aResponse);
+  void SendProcessing(); ///< Sends an interim answer.
   void OnTick(model::instant aNow);
   bool Idle() const; ///< No request is being received or answered.
   /** Shuts down the write side, then waits for the caller to close. */
--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -155,6 +155,19 @@
   SendToPeers(members, std::move(message));
 }
 
+void
+control_plane::SendToRoots(std::vector<serving::leaf_observation> aObservations,
+                           model::instant aNow)
+{
+  serving::fleet_message message;
+  message.mLeafObservations = std::move(aObservations);
+  auto members = mFleet.LiveMembers(aNow);
+  std::erase_if(members, [](const serving::fleet_member& aMember) {
+    return aMember.mRelayPort == 0;
+  });
+  SendToPeers(members, std::move(message));
+}
+
 void
 control_plane::SendToPeer(const model::endpoint& aPeer,
                           const std::string& aBytes)
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -83,8 +83,14 @@
     mFleet.SetSeeds(std::move(aSeeds));
   }
   const serving::fleet_membership& Fleet() const { return mFleet; }
+  /** Tells peers at which port this instance executes their queries; 0 if it
+   * does not. */
+  void SetRelayPort(std::uint16_t aPort, model::instant aNow);
   const serving::routing_config_ptr& Config() const { return mConfig; }
   bool ConfigIsCurrent(model::instant aNow) const;
+  /** Sends leaf observations to the roots, which use the same leaves. */
+  void SendToRoots(std::vector<serving::leaf_observation> aObservations,
+                   model::instant aNow);
   /** Sends leaf observations and unreachable data centres to the instances of
    * this data centre, which use the same leaves. */
   void SendToDataCentrePeers(
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -210,6 +210,15 @@
   }
 }
 
+void
+control_plane::SetRelayPort(std::uint16_t aPort, model::instant aNow)
+{
+  if (aPort != mFleet.Self().mRelayPort) {
+    mFleet.SetRelayPort(aPort);
+    SendToPeers(mFleet.PossiblyLiveMembers(aNow), {});
+  }
+}
+
 void
 control_plane::SetLeaving(model::instant aNow)
 {
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -58,6 +58,8 @@
   self.mDataCentre = aSettings.mDataCentre;
   self.mPeerEndpoint = aSettings.mPeerAddress;
   self.mIncarnation = WallMs();
+  self.mCapacityMillicores =
+    static_cast<std::uint32_t>(aSettings.mCapacity * 1'000);
   const std::uint64_t seed =
     cluster::HashOf(aSettings.mName) ^ self.mIncarnation;
   return { std::move(self), aSettings.mSeeds, kFleetSettings, seed };
@@ -120,10 +122,17 @@
              mControlPlane,
              aMetrics,
              cluster::HashOf(mSettings.mName) ^ WallMs())
+  , mRelay(aLoop,
+           mSettings.mHeaderNames,
+           mSettings.mName,
+           mSettings.mQuery.mRetryAfter,
+           aLog,
+           aMetrics)
   , mDispatcher({ aLoop,
                   mSettings.mHeaderNames,
                   mLeaves,
                   mPermits,
+                  mRelay,
                   mRetryBudget,
                   mQuarantine,
                   mSettings.mQuery,
@@ -132,6 +141,15 @@
                 SplitOffset(mSettings.mName))
   , mCallerServer(aLoop, mSettings.mCallerAddress, mDispatcher, aLog)
   , mReadinessServer(aLoop, mSettings.mReadinessAddress, *this, aLog)
+  , mRelayHandler(mDispatcher,
+                  [this] { return mRelayServer->BusyConnections(); })
+  , mRelayServer(mSettings.mRelayAddress.mPort == 0
+                   ? nullptr
+                   : std::make_unique<uv_http_server>(aLoop,
+                                                      mSettings.mRelayAddress,
+                                                      mRelayHandler,
+                                                      aLog))
+  , mRootDuty(serving::root_settings{}, event_loop::Now())
   , mTickTimer(aLoop, [this] { OnTick(); })
   , mStartedAt(event_loop::Now())
   , mNextGossipRound(mStartedAt)
@@ -155,16 +173,13 @@
   hooks.mOnConfig = [this](const serving::routing_config_ptr& aConfig) {
     mDispatcher.SetConfig(aConfig);
     mCallerServer.SetLimits(aConfig->Limits());
-    const model::instant now = event_loop::Now();
-    mLeaves.AllocateConnections(aConfig.get(),
-                                mControlPlane.Fleet().FleetSize(now));
+    UpdateRole(event_loop::Now());
   };
   hooks.mOnLeaves = [this](const serving::leaf_directory::changes& aChanges) {
     const model::instant now = event_loop::Now();
     ForgetLimits(aChanges);
     mLeaves.Apply(aChanges, now);
-    mLeaves.AllocateConnections(mDispatcher.Config().get(),
-                                mControlPlane.Fleet().FleetSize(now));
+    UpdateRole(now);
     mLeaves.OnTick(mDispatcher.Config().get(), now);
   };
   hooks.mOnSuspicion = [this](const serving::leaf_suspicion& aSuspicion) {
@@ -228,12 +243,19 @@
   mControlPlane.OnTick(now);
   mCallerServer.OnTick(now);
   mReadinessServer.OnTick(now);
+  if (mRelayServer) {
+    mRelayServer->OnTick(now);
+  }
   mLeaves.OnTick(mDispatcher.Config().get(), now);
   if (!mPendingObservations.empty() || !mPendingUnreachable.empty()) {
     mControlPlane.SendToDataCentrePeers(std::exchange(mPendingObservations, {}),
                                         std::exchange(mPendingUnreachable, {}),
                                         now);
   }
+  if (!mPendingShardObservations.empty()) {
+    mControlPlane.SendToRoots(std::exchange(mPendingShardObservations, {}),
+                              now);
+  }
   if (now >= mNextGossipRound) {
     mNextGossipRound = now + kFleetSettings.mGossipPeriod;
     OnGossipRound(now);
@@ -252,12 +274,53 @@
   mPermits.OnTimer(aNow);
   mLeaves.ForgetOldNotices(aNow);
   mControlPlane.OnGossipRound(aNow);
-  const serving::fleet_size instances = mControlPlane.Fleet().FleetSize(aNow);
-  mRetryBudget.SetInstanceCount(instances.mTotal);
-  mLeaves.AllocateConnections(mDispatcher.Config().get(), instances);
+  mRetryBudget.SetInstanceCount(mControlPlane.Fleet().FleetSize(aNow).mTotal);
+  UpdateRole(aNow);
   mDispatcher.SetConfigCurrent(mControlPlane.ConfigIsCurrent(aNow));
 }
 
+void
+entry_instance::UpdateRole(model::instant aNow)
+{
+  const serving::routing_config* config = mDispatcher.Config().get();
+  serving::root_duty::inputs inputs;
+  inputs.mConfig = config;
+  inputs.mRelayPort = mRelayServer ? mSettings.mRelayAddress.mPort : 0;
+  inputs.mIsStopping = mStop.has_value();
+  if (config != nullptr) {
+    inputs.mLeafDataCentres = mLeaves.DataCentresOf(config->ShardServices());
+    inputs.mReachableShards =
+      mLeaves.ReachableFraction(config->ShardServices(), aNow);
+  }
+  const serving::fleet_membership& fleet = mControlPlane.Fleet();
+  serving::root_role role = mRootDuty.Update(fleet, inputs, aNow);
+  if (role.mUsesRoots != mRole.mUsesRoots || role.mAccepts != mRole.mAccepts ||
+      role.mShardInstances.has_value() != mRole.mShardInstances.has_value()) {
+    LogRole(role);
+  }
+  mRole = std::move(role);
+  mRelay.SetRoots(mRole.mRoots);
+  mDispatcher.SetUsesRelay(mRole.mUsesRoots && !mRole.mAccepts);
+  mControlPlane.SetRelayPort(mRole.mAccepts ? inputs.mRelayPort : 0, aNow);
+  mLeaves.AllocateConnections(
+    config, fleet.FleetSize(aNow), mRole.mShardInstances);
+}
+
+void
+entry_instance::LogRole(const serving::root_role& aRole) const
+{
+  mLog.Write(ops::log_level::Info,
+             "root_role",
+             { { "uses_roots", static_cast<long>(aRole.mUsesRoots) },
+               { "accepts", static_cast<long>(aRole.mAccepts) },
+               { "keeps_connections",
+                 static_cast<long>(aRole.mShardInstances.has_value()) },
+               { "roots", static_cast<long>(aRole.mRoots.size()) },
+               { "instances",
+                 static_cast<long>(mControlPlane.Fleet().KnownInstances(
+                   event_loop::Now())) } });
+}
+
 void
 entry_instance::CheckSuspension(model::instant aNow)
 {
@@ -279,14 +342,18 @@
   double reachable = 0;
   double servable = 1;
   if (mDispatcher.Config()) {
-    reachable =
-      mLeaves.ReachableFraction(mDispatcher.Config()->RoutedServices(), aNow);
+    const bool hasRoot =
+      mRole.mUsesRoots && !mRole.mAccepts && mRelay.HasRoot(aNow);
+    reachable = mLeaves.ReachableFraction(
+      hasRoot ? mDispatcher.Config()->TargetServices()
+              : mDispatcher.Config()->RoutedServices(),
+      aNow);
     // Checked only while a data centre is unreachable: other instances may
     // reach its shards, whereas no instance can serve shards that have no
     // leaves anywhere.
     if (mLeaves.AnyDataCentreUnreachable()) {
       servable = mLeaves.ServableFraction(
-        *mDispatcher.Config(), mDispatcher.Demand(), aNow);
+        *mDispatcher.Config(), mDispatcher.Demand(), hasRoot, aNow);
     }
   }
   const bool ready = !mStop && reachable >= kMinReachableFraction &&
@@ -316,6 +383,10 @@
     { { "reason", std::string(aReason) },
       { "connections", static_cast<long>(mCallerServer.Connections()) } });
   mCallerServer.SetCloseAfterAnswer(true);
+  if (mRelayServer) {
+    mRelayServer->SetCloseAfterAnswer(true);
+  }
+  UpdateRole(now); // Peers hand over no further queries.
   mControlPlane.SetLeaving(now);
   CheckReadiness(now);
 }
@@ -323,12 +394,19 @@
 void
 entry_instance::AdvanceStop(model::instant aNow)
 {
-  switch (mStop->CurrentStep(mCallerServer.Connections(), aNow)) {
+  const std::size_t connections =
+    mCallerServer.Connections() +
+    (mRelayServer ? mRelayServer->Connections() : 0);
+  switch (mStop->CurrentStep(connections, aNow)) {
     case stop_sequence::step::Serve:
       return;
     case stop_sequence::step::CloseIdle:
-      mCallerServer.StopAccepting();
-      mCallerServer.CloseIdle();
+      for (uv_http_server* server : { &mCallerServer, mRelayServer.get() }) {
+        if (server != nullptr) {
+          server->StopAccepting();
+          server->CloseIdle();
+        }
+      }
       return;
     case stop_sequence::step::Exit:
       mLog.Write(
@@ -543,8 +621,12 @@
 entry_instance::AddObservation(const leaf_endpoint& aLeaf,
                                std::optional<std::int32_t> aExcessMs)
 {
-  if (mPendingObservations.size() < kMaxObservations) {
-    mPendingObservations.push_back({ aLeaf.Entry().mId, aExcessMs });
+  const bool usedByRoots =
+    mRole.mUsesRoots && !mDispatcher.Config()->IsTarget(aLeaf.Entry().mService);
+  auto& pending =
+    usedByRoots ? mPendingShardObservations : mPendingObservations;
+  if (pending.size() < kMaxObservations) {
+    pending.push_back({ aLeaf.Entry().mId, aExcessMs });
   }
 }
 
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -11,11 +11,14 @@
 #include "gateway/leaf_table_base.h"
 #include "gateway/loop_timer_base.h"
 #include "gateway/permit_client_base.h"
+#include "gateway/relay_client_base.h"
+#include "gateway/relay_handler_base.h"
 #include "gateway/request_dispatcher_base.h"
 #include "gateway/stop_sequence_base.h"
 #include "gateway/uv_http_server_base.h"
 #include "ops/bounded_sink_base.h"
 #include "serving/leaf_limit_table_base.h"
+#include "serving/root_duty_base.h"
 
 #include <memory>
 #include <optional>
@@ -73,6 +76,9 @@
   void ForgetLimits(const serving::leaf_directory::changes& aChanges);
   void OnPeerLimit(const serving::leaf_limit_report& aReport);
   void LogLimit(const leaf_endpoint& aLeaf, const char* aSource) const;
+  /** Decides whether this instance is a root, and which ones it uses. */
+  void UpdateRole(model::instant aNow);
+  void LogRole(const serving::root_role& aRole) const;
   void OnPeerDeparture(const serving::leaf_departure& aReport);
   void LogDeparture(const serving::leaf_registration& aLeaf,
                     const char* aSource);
@@ -97,12 +103,19 @@
   leaf_table mLeaves;
   control_plane mControlPlane;
   permit_client mPermits;
+  relay_client mRelay;
   request_dispatcher mDispatcher;
   uv_http_server mCallerServer;
   uv_http_server mReadinessServer;
+  relay_handler mRelayHandler;
+  std::unique_ptr<uv_http_server> mRelayServer; ///< Null without an address.
+  serving::root_duty mRootDuty;
+  serving::root_role mRole;
   loop_timer mTickTimer;
   /** Not sent yet. */
   std::vector<serving::leaf_observation> mPendingObservations;
+  /** Of leaves of shards, if roots use them; not sent yet. */
+  std::vector<serving::leaf_observation> mPendingShardObservations;
   /** Unreachable data centres that are not sent yet. */
   std::vector<std::string> mPendingUnreachable;
   model::instant mStartedAt;
--- a/src/gateway/exchange_base.h
+++ b/src/gateway/exchange_base.h
@@ -40,6 +40,8 @@
   model::duration CallerNetworkTime() const { return mCallerNetworkTime; }
   /** Sends the answer; does nothing if the caller has disconnected. */
   void Respond(const http_response& aResponse);
+  /** Sends an interim answer: the request is being handled. */
+  void SendProcessing();
   bool CallerLeft() const { return mConnection == nullptr; }
   /** Sets a handler that is called once if the caller closes its connection
    * before the answer. */
--- a/src/gateway/http_channel.cpp
+++ b/src/gateway/http_channel.cpp
@@ -39,9 +39,12 @@
 void
 http_channel::Call(std::string aRequest,
                    model::duration aTimeout,
-                   response_handler aOnResponse)
+                   response_handler aOnResponse,
+                   interim_handler aOnInterim)
 {
   mOnResponse = std::move(aOnResponse);
+  mOnInterim = std::move(aOnInterim);
+  mSent = mStream && mConnected;
   mTimer.Start(aTimeout);
   if (mStream && mConnected) {
     mStream->Write(std::move(aRequest));
@@ -63,6 +66,7 @@
     return;
   }
   mConnected = true;
+  mSent = true;
   mStream->StartReading();
   mStream->Write(std::move(mPendingRequest));
   mPendingRequest.clear();
@@ -75,7 +79,16 @@
     DropConnection();
     return;
   }
-  const std::size_t consumed = mReader.Feed(aBytes);
+  std::size_t consumed = mReader.Feed(aBytes);
+  while (mReader.State() == http_reader::state::Complete &&
+         mReader.Message().mStatus / 100 == 1) {
+    mReader.NextMessage();
+    aBytes.remove_prefix(consumed);
+    consumed = mReader.Feed(aBytes);
+    if (mOnInterim) {
+      mOnInterim();
+    }
+  }
   if (mReader.State() >= http_reader::state::Malformed) {
     Finish(std::nullopt, false);
   } else if (mReader.State() == http_reader::state::Complete) {
--- a/src/gateway/http_channel_base.h
+++ b/src/gateway/http_channel_base.h
@@ -30,6 +30,8 @@
 public:
   /** Called with the response, or nullopt if there is none. */
   using response_handler = std::function<void(std::optional<http_message>)>;
+  /** Called for each interim response (1xx). */
+  using interim_handler = std::function<void()>;
 
   http_channel(event_loop& aLoop, model::endpoint aServer);
   ~http_channel() override;
@@ -40,10 +42,14 @@
    */
   void Call(std::string aRequest,
             model::duration aTimeout,
-            response_handler aOnResponse);
+            response_handler aOnResponse,
+            interim_handler aOnInterim = nullptr);
   /** Ends the call in progress, if any, without a response. */
   void Cancel();
   bool Busy() const { return mOnResponse != nullptr; }
+  bool Connected() const { return mConnected; }
+  /** Whether the last call was written to a connection. */
+  bool Sent() const { return mSent; }
   void SetServer(const model::endpoint& aServer);
 
   void OnConnected(bool aSuccess) override;
@@ -61,7 +67,9 @@
   loop_timer mTimer;
   std::string mPendingRequest;
   response_handler mOnResponse;
+  interim_handler mOnInterim;
   bool mConnected = false;
+  bool mSent = false; ///< See Sent().
 };
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/instance_settings_type.h
+++ b/src/gateway/instance_settings_type.h
@@ -26,6 +26,12 @@
   model::endpoint mReadinessAddress;
   /** UDP and TCP address for other instances. */
   model::endpoint mPeerAddress;
+  /** TCP address for queries of other instances; without a port, none are
+   * accepted. */
+  model::endpoint mRelayAddress;
+  /** Processor cores, for the choice of roots; 0 if unknown: this instance is
+   * no root. */
+  double mCapacity = 0;
   std::vector<model::endpoint> mSeeds; ///< Addresses of peers to contact first.
   model::endpoint mStoreAddress;
   std::string mReadinessPath;
--- a/src/gateway/leaf_table.cpp
+++ b/src/gateway/leaf_table.cpp
@@ -156,10 +156,20 @@
 }
 
 void
-leaf_table::AllocateConnections(const serving::routing_config* aConfig,
-                                const serving::fleet_size& aInstances)
+leaf_table::AllocateConnections(
+  const serving::routing_config* aConfig,
+  const serving::fleet_size& aInstances,
+  const std::optional<serving::fleet_size>& aShardInstances)
 {
   for (const auto& [service, leaves] : mByService) {
+    // A service that no route uses yet may become a shard.
+    const bool isTarget = aConfig == nullptr || aConfig->IsTarget(service);
+    if (!isTarget && !aShardInstances) {
+      for (const leaf_endpoint_ptr& leaf : leaves) {
+        leaf->SetAllocation({ 1, false });
+      }
+      continue;
+    }
     std::vector<serving::replica_limits> limits;
     for (const leaf_endpoint_ptr& leaf : leaves) {
       limits.push_back(
@@ -168,14 +178,26 @@
           leaf->Entry().mSlots,
           leaf->Entry().mDataCentre != mDataCentre });
     }
-    const auto allocations =
-      serving::AllocateConnections(mSelf, limits, aInstances);
+    const auto allocations = serving::AllocateConnections(
+      mSelf, limits, isTarget ? aInstances : *aShardInstances);
     for (std::size_t index = 0; index < leaves.size(); ++index) {
       leaves[index]->SetAllocation(allocations[index]);
     }
   }
 }
 
+std::set<std::string>
+leaf_table::DataCentresOf(const std::vector<std::string>& aServices) const
+{
+  std::set<std::string> dataCentres;
+  for (const std::string& service : aServices) {
+    for (const leaf_endpoint_ptr& leaf : LeavesOf(service)) {
+      dataCentres.insert(leaf->Entry().mDataCentre);
+    }
+  }
+  return dataCentres;
+}
+
 const leaf_table::leaf_list&
 leaf_table::LeavesOf(const std::string& aService) const
 {
@@ -284,6 +306,7 @@
 double
 leaf_table::ServableFraction(const serving::routing_config& aConfig,
                              const serving::recent_demand& aDemand,
+                             bool aHasRoot,
                              model::instant aNow) const
 {
   double all = 0;
@@ -292,7 +315,8 @@
     const auto& targets = route.mTargets;
     const bool served =
       route.IsFanOut()
-        ? ReachableFraction(route.mShards, aNow) >= route.mMinSuccessShare
+        ? aHasRoot ||
+            ReachableFraction(route.mShards, aNow) >= route.mMinSuccessShare
         : std::all_of(targets.begin(), targets.end(), [&](const auto& aTarget) {
             return HasAnsweringLeaf(aTarget.mService, aNow);
           });
--- a/src/gateway/leaf_table_base.h
+++ b/src/gateway/leaf_table_base.h
@@ -14,6 +14,7 @@
 #include "serving/routing_config_base.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace monsooncroft::gateway {
@@ -42,10 +43,19 @@
 
   void Apply(const serving::leaf_directory::changes& aChanges,
              model::instant aNow);
-  /** @param aInstances Number of instances that hold connections, including
-   * recently lost ones. */
-  void AllocateConnections(const serving::routing_config* aConfig,
-                           const serving::fleet_size& aInstances);
+  /**
+   * @param aInstances Number of instances that hold connections, including
+   * recently lost ones.
+   * @param aShardInstances Number of instances that keep connections to leaves
+   * of shards, if this is one of them; nothing if it keeps none.
+   */
+  void AllocateConnections(
+    const serving::routing_config* aConfig,
+    const serving::fleet_size& aInstances,
+    const std::optional<serving::fleet_size>& aShardInstances);
+  /** Data centres that have leaves of any of the services. */
+  std::set<std::string> DataCentresOf(
+    const std::vector<std::string>& aServices) const;
   /** A leaf said in an answer that it is leaving. @return Whether this was not
    * known. */
   bool OnLeaving(const serving::leaf_registration& aLeaf,
@@ -82,9 +92,11 @@
   /** Fraction of the services that have a responding leaf, from 0 to 1. */
   double ReachableFraction(const std::vector<std::string>& aServices,
                            model::instant aNow) const;
-  /** Fraction of the recent demand that can be served now, from 0 to 1. */
+  /** Fraction of the recent demand that can be served now, from 0 to 1.
+   * @param aHasRoot Whether another instance executes the fan-outs. */
   double ServableFraction(const serving::routing_config& aConfig,
                           const serving::recent_demand& aDemand,
+                          bool aHasRoot,
                           model::instant aNow) const;
 
 private:
--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -5,10 +5,13 @@
 #include "gateway/query_execution_base.h"
 
 #include "gateway/event_loop_base.h"
+#include "gateway/header_names_type.h"
 #include "gateway/leaf_table_base.h"
 #include "gateway/permit_client_base.h"
+#include "gateway/query_settings_type.h"
 #include "gateway/request_head_func.h"
 #include "model/time_func.h"
+#include "serving/retry_budget_base.h"
 #include "serving/shard_omission_func.h"
 
 #include <algorithm>
@@ -18,7 +21,7 @@
 
 query_execution::query_execution(const query_context& aContext,
                                  exchange_ptr aExchange,
-                                 plan aPlan)
+                                 query_plan aPlan)
   : mContext(aContext)
   , mExchange(std::move(aExchange))
   , mPlan(std::move(aPlan))
@@ -32,14 +35,27 @@
       ? serving::RequiredShards(mShards.size(), route.mMinSuccessShare)
       : 1;
   mRequirements.mPartialAnswerAt =
-    mExchange->ReceivedAt() +
-    serving::PartialAnswerDelay(route.mTargetLatency,
-                                mExchange->CallerNetworkTime(),
-                                mPlan.mLatency->AnswerTime(),
-                                mContext.mSettings.mAnswerTiming);
+    PartialAnswerAt(mContext.mSettings, *mExchange, mPlan);
   mRequirements.mDeadline = mPlan.mDeadline;
 }
 
+model::instant
+query_execution::PartialAnswerAt(const query_settings& aSettings,
+                                 const exchange& aExchange,
+                                 const query_plan& aPlan)
+{
+  const model::duration answerTime = aPlan.mLatency->AnswerTime();
+  if (aPlan.mAnswerWithin) {
+    return aExchange.ReceivedAt() + std::max(*aPlan.mAnswerWithin - answerTime,
+                                             *aPlan.mAnswerWithin / 2);
+  }
+  return aExchange.ReceivedAt() +
+         serving::PartialAnswerDelay(aPlan.mRoute->mTargetLatency,
+                                     aExchange.CallerNetworkTime(),
+                                     answerTime,
+                                     aSettings.mAnswerTiming);
+}
+
 void
 query_execution::Start()
 {
@@ -53,8 +69,13 @@
       run->Finish(nullptr, "caller_left", event_loop::Now());
     }
   });
-  for (const std::string& service : mPlan.mServices) {
-    mContext.mRetryBudget.OnRequest(service, now);
+  if (mPlan.mIsResent) {
+    mMayHaveRun = true;
+    TakeResendBudget(now);
+  } else {
+    for (const std::string& service : mPlan.mServices) {
+      mContext.mRetryBudget.OnRequest(service, now);
+    }
   }
   if (mShards.size() - OmitLateShards(now) < mRequirements.mRequiredShards) {
     mLastReason = "too few shards in reach";
@@ -73,6 +94,19 @@
   }
 }
 
+void
+query_execution::TakeResendBudget(model::instant aNow)
+{
+  for (std::size_t index = 0; index < mShards.size(); ++index) {
+    if (!mContext.mRetryBudget.TryAcquire(mPlan.mServices[index],
+                                          serving::retry_budget::purpose::Retry,
+                                          aNow)) {
+      mShards[index].mFailed = true;
+      ++mFailedShards;
+    }
+  }
+}
+
 std::size_t
 query_execution::OmitLateShards(model::instant aNow)
 {
@@ -80,6 +114,11 @@
   std::vector<model::duration> expected;
   expected.reserve(mShards.size());
   for (std::size_t index = 0; index < mShards.size(); ++index) {
+    if (mShards[index].mFailed) {
+      ++unreachable;
+      expected.push_back(model::duration(0));
+      continue;
+    }
     const leaf_endpoint* leaf = ChooseLeaf(index, false, aNow);
     unreachable +=
       leaf == nullptr || leaf->Load().IsKnownUnreachable(aNow) ? 1 : 0;
@@ -87,10 +126,12 @@
                                        : leaf->Load().ExpectedLatency(
                                            mPlan.mLatency->Mean(), aNow));
   }
-  const auto omitted = serving::ChooseOmittedShards(
-    expected,
-    mRequirements.mPartialAnswerAt - aNow,
-    mRequirements.mTotalShards - mRequirements.mRequiredShards);
+  const std::size_t spare =
+    mRequirements.mTotalShards - mRequirements.mRequiredShards;
+  const auto omitted =
+    serving::ChooseOmittedShards(expected,
+                                 mRequirements.mPartialAnswerAt - aNow,
+                                 spare - std::min(spare, mFailedShards));
   for (const std::size_t index : omitted) {
     mShards[index].mOmitted = true;
     mShards[index].mExpectedLatency = expected[index];
--- a/src/gateway/query_execution_answer.cpp
+++ b/src/gateway/query_execution_answer.cpp
@@ -5,6 +5,8 @@
 #include "gateway/query_execution_base.h"
 
 #include "gateway/event_loop_base.h"
+#include "gateway/header_names_type.h"
+#include "gateway/query_settings_type.h"
 #include "gateway/request_head_func.h"
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
--- a/src/gateway/query_execution_base.h
+++ b/src/gateway/query_execution_base.h
@@ -5,9 +5,11 @@
 #ifndef MONSOONCROFT_GATEWAY_QUERY_EXECUTION_BASE_H
 #define MONSOONCROFT_GATEWAY_QUERY_EXECUTION_BASE_H
 
+#include "gateway/exchange_base.h"
 #include "gateway/leaf_attempt_type.h"
 #include "gateway/loop_timer_base.h"
-#include "gateway/request_dispatcher_base.h"
+#include "gateway/query_context_type.h"
+#include "gateway/query_plan_type.h"
 #include "serving/answer_rule_func.h"
 
 #include <memory>
@@ -23,24 +25,14 @@
   , public std::enable_shared_from_this<query_execution>
 {
 public:
-  /** Decisions about the request before its execution. */
-  struct plan
-  {
-    serving::routing_config_ptr mConfig; ///< Owns the route.
-    const serving::route* mRoute = nullptr;
-    /** One service, or the shards of a fan-out. */
-    std::vector<std::string> mServices;
-    std::shared_ptr<serving::route_latency> mLatency;
-    std::string mRequestId;
-    model::instant mDeadline;
-    /** The content has crashed a leaf: one attempt per shard. */
-    bool mSingleAttempt = false;
-  };
-
   query_execution(const query_context& aContext,
                   exchange_ptr aExchange,
-                  plan aPlan);
+                  query_plan aPlan);
   void Start();
+  /** When a partial answer to the plan's query is sent to its caller. */
+  static model::instant PartialAnswerAt(const query_settings& aSettings,
+                                        const exchange& aExchange,
+                                        const query_plan& aPlan);
   void OnAttemptEnd(leaf_attempt& aAttempt, attempt_result aResult) override;
   void OnAttemptAdmitted(leaf_attempt& aAttempt) override;
   std::size_t RequiredPermits() const override;
@@ -65,6 +57,8 @@
     http_message mAnswer;
   };
 
+  /** Takes an extra attempt for each shard; those without one fail. */
+  void TakeResendBudget(model::instant aNow);
   /** @return Number of shards without a reachable leaf. */
   std::size_t OmitLateShards(model::instant aNow);
   bool RestoreOmittedShard(model::instant aNow);
@@ -106,7 +100,7 @@
 
   query_context mContext;
   exchange_ptr mExchange;
-  plan mPlan;
+  query_plan mPlan;
   std::shared_ptr<const leaf_request> mLeafRequest;
   std::vector<shard_state> mShards;
   serving::answer_requirements mRequirements;
--- /dev/null
+++ b/src/gateway/query_plan_type.h
@@ -0,0 +1,40 @@
+/**
+ * @file query_plan_type.h
+ * Decisions about a request before its execution.
+ */
+#ifndef MONSOONCROFT_GATEWAY_QUERY_PLAN_TYPE_H
+#define MONSOONCROFT_GATEWAY_QUERY_PLAN_TYPE_H
+
+#include "serving/route_latency_type.h"
+#include "serving/routing_config_base.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace monsooncroft::gateway {
+
+/** Decisions about a request before its execution. */
+struct query_plan
+{
+  serving::routing_config_ptr mConfig; ///< Owns the route.
+  const serving::route* mRoute = nullptr;
+  /** One service, or the shards of a fan-out. */
+  std::vector<std::string> mServices;
+  std::shared_ptr<serving::route_latency> mLatency;
+  std::string mRequestId;
+  model::instant mDeadline;
+  /** The content has crashed a leaf: one attempt per shard. */
+  bool mSingleAttempt = false;
+  /** Time until a partial answer is sent, for a query of another instance;
+   * nothing if it follows from the caller's network time. */
+  std::optional<model::duration> mAnswerWithin;
+  /** Another instance may have executed the query before: each attempt counts
+   * as a retry. */
+  bool mIsResent = false;
+};
+
+} // namespace monsooncroft::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/relay_fields_type.h
@@ -0,0 +1,23 @@
+/**
+ * @file relay_fields_type.h
+ * Fields of queries that instances hand to roots, and of their answers.
+ */
+#ifndef MONSOONCROFT_GATEWAY_RELAY_FIELDS_TYPE_H
+#define MONSOONCROFT_GATEWAY_RELAY_FIELDS_TYPE_H
+
+namespace monsooncroft::gateway::relay_fields {
+
+/** Version of the configuration that the sender has in force. */
+constexpr const char* kConfigVersion = "Relay-Config";
+/** Time until the sender needs an answer that may be partial, in us. */
+constexpr const char* kAnswerWithinUs = "Relay-Answer-Within";
+/** Present if another instance may have executed the query. */
+constexpr const char* kResent = "Relay-Resent";
+/** Reason for which a root has not executed a query. */
+constexpr const char* kRefused = "Relay-Refused";
+/** Value of that field: the root executes too many queries. */
+constexpr const char* kOverloaded = "overloaded";
+
+} // namespace monsooncroft::gateway::relay_fields
+
+#endif
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -5,6 +5,8 @@
 #include "gateway/request_dispatcher_base.h"
 
 #include "gateway/query_execution_base.h"
+#include "gateway/relay_client_base.h"
+#include "gateway/relay_fields_type.h"
 #include "gateway/request_head_func.h"
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
@@ -16,6 +18,21 @@
 
 namespace {
 
+/** More than come into force in the time in which all instances learn of one.
+ */
+constexpr std::size_t kMaxEarlierConfigs = 3;
+
+/** Parses a whole number; nothing if the text is not one. */
+std::optional<long>
+ParseNumber(const std::string& aText)
+{
+  long number = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, number);
+  return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(number)
+                                                       : std::nullopt;
+}
+
 /** Whether the target is in origin form: a path with an optional query. */
 bool
 IsOriginForm(const std::string& aTarget)
@@ -35,6 +52,11 @@
 void
 request_dispatcher::SetConfig(serving::routing_config_ptr aConfig)
 {
+  if (mConfig && mConfig->Version() < aConfig->Version()) {
+    mEarlierConfigs.push_front(mConfig);
+    mEarlierConfigs.resize(
+      std::min(mEarlierConfigs.size(), kMaxEarlierConfigs));
+  }
   mConfig = std::move(aConfig);
   std::erase_if(mLatencies, [&](const auto& aEntry) {
     const auto& routes = mConfig->Routes();
@@ -118,19 +140,12 @@
   if (permit == once::screening_permit::Refused) {
     return Refuse(aExchange, 503, once::kReasonQuarantined);
   }
-  std::chrono::milliseconds timeout = route->mTimeout;
-  if (const auto* remaining =
-        request.Find(mContext.mHeaderNames.mRemainingMs)) {
-    long ms = 0;
-    const auto parsed = std::from_chars(
-      remaining->data(), remaining->data() + remaining->size(), ms);
-    if (parsed.ec != std::errc() || ms < 0) {
-      return Refuse(aExchange, 400, "remaining time is no number");
-    }
-    timeout = std::min(timeout, std::chrono::milliseconds(ms));
+  const auto timeout = Timeout(request, *route);
+  if (!timeout) {
+    return Refuse(aExchange, 400, "remaining time is no number");
   }
   mDemand.OnRequest(route->mName, aExchange->ReceivedAt());
-  query_execution::plan plan;
+  query_plan plan;
   plan.mConfig = mConfig;
   plan.mRoute = route;
   plan.mServices =
@@ -140,9 +155,131 @@
   plan.mLatency = LatencyOf(*route);
   plan.mRequestId = *id;
   plan.mSingleAttempt = permit != once::screening_permit::Unrestricted;
-  plan.mDeadline = aExchange->ReceivedAt() + timeout;
-  std::make_shared<query_execution>(mContext, aExchange, std::move(plan))
+  plan.mDeadline = aExchange->ReceivedAt() + *timeout;
+  if (route->IsFanOut() && mUsesRelay &&
+      mContext.mRelay.HasRoot(aExchange->ReceivedAt())) {
+    Relay(aExchange, std::move(plan));
+  } else {
+    Execute(aExchange, std::move(plan));
+  }
+}
+
+std::optional<std::chrono::milliseconds>
+request_dispatcher::Timeout(const http_message& aRequest,
+                            const serving::route& aRoute) const
+{
+  const auto* remaining = aRequest.Find(mContext.mHeaderNames.mRemainingMs);
+  if (remaining == nullptr) {
+    return aRoute.mTimeout;
+  }
+  long ms = 0;
+  const auto parsed = std::from_chars(
+    remaining->data(), remaining->data() + remaining->size(), ms);
+  if (parsed.ec != std::errc() || ms < 0) {
+    return std::nullopt;
+  }
+  return std::min(aRoute.mTimeout, std::chrono::milliseconds(ms));
+}
+
+void
+request_dispatcher::Execute(const exchange_ptr& aExchange, query_plan aPlan)
+{
+  std::make_shared<query_execution>(mContext, aExchange, std::move(aPlan))
     ->Start();
 }
 
+void
+request_dispatcher::Relay(const exchange_ptr& aExchange, query_plan aPlan)
+{
+  relayed_query query;
+  query.mExchange = aExchange;
+  query.mRequestId = aPlan.mRequestId;
+  query.mRouteName = aPlan.mRoute->mName;
+  query.mConfigVersion = aPlan.mConfig->Version();
+  query.mAnswerBy =
+    query_execution::PartialAnswerAt(mContext.mSettings, *aExchange, aPlan);
+  query.mDeadline = aPlan.mDeadline;
+  mContext.mRelay.Send(
+    std::move(query),
+    [this, aExchange, aPlan](bool aMayHaveRun) {
+      query_plan plan = aPlan;
+      plan.mIsResent = aMayHaveRun;
+      Execute(aExchange, std::move(plan));
+    },
+    aExchange->ReceivedAt());
+}
+
+serving::routing_config_ptr
+request_dispatcher::ConfigOfVersion(std::uint64_t aVersion) const
+{
+  for (const serving::routing_config_ptr& config : mEarlierConfigs) {
+    if (config->Version() == aVersion) {
+      return config;
+    }
+  }
+  return mConfig;
+}
+
+void
+request_dispatcher::RefuseRelayed(const exchange_ptr& aExchange,
+                                  const char* aReason) const
+{
+  mContext.mMetrics.Count("relayed_queries_refused", { { "reason", aReason } });
+  http_response response;
+  response.mStatus = 503;
+  response.mFields.push_back({ relay_fields::kRefused, aReason });
+  aExchange->Respond(response);
+}
+
+void
+request_dispatcher::OnRelayedRequest(const exchange_ptr& aExchange)
+{
+  http_message& request = aExchange->Request();
+  const auto takeNumber = [&request](const char* aName) -> std::optional<long> {
+    const std::string* value = request.Find(aName);
+    const auto number = value == nullptr ? std::nullopt : ParseNumber(*value);
+    std::erase_if(request.mFields, [&](const http_field& aField) {
+      return EqualsIgnoreCase(aField.mName, aName);
+    });
+    return number;
+  };
+  const auto version = takeNumber(relay_fields::kConfigVersion);
+  const auto within = takeNumber(relay_fields::kAnswerWithinUs);
+  const bool isResent = takeNumber(relay_fields::kResent).has_value();
+  const std::string* host = request.Find("Host");
+  const std::string* id = request.Find(mContext.mHeaderNames.mRequestId);
+  if (!version || *version < 0 || !within || *within < 0 || host == nullptr ||
+      id == nullptr || id->empty() || !IsOriginForm(request.mTarget)) {
+    mContext.mLog.Write(ops::log_level::Warning,
+                        "relayed_query_malformed",
+                        { { "target", request.mTarget } });
+    return RefuseRelayed(aExchange, "malformed");
+  }
+  const auto wanted = static_cast<std::uint64_t>(*version);
+  if (!mConfig || mConfig->Version() < wanted) {
+    return RefuseRelayed(aExchange, "older configuration");
+  }
+  query_plan plan;
+  plan.mConfig = ConfigOfVersion(wanted);
+  plan.mRoute = plan.mConfig->Match(*host, request.mTarget);
+  if (plan.mRoute == nullptr || !plan.mRoute->IsFanOut()) {
+    return RefuseRelayed(aExchange, "no fan-out");
+  }
+  const auto timeout = Timeout(request, *plan.mRoute);
+  const once::screening_permit permit = CheckQuarantine(request, *host);
+  if (!timeout || permit == once::screening_permit::Refused) {
+    return RefuseRelayed(aExchange, "not allowed");
+  }
+  aExchange->SendProcessing();
+  plan.mServices = plan.mRoute->mShards;
+  plan.mLatency = LatencyOf(*plan.mRoute);
+  plan.mRequestId = *id;
+  plan.mSingleAttempt =
+    isResent || permit != once::screening_permit::Unrestricted;
+  plan.mDeadline = aExchange->ReceivedAt() + *timeout;
+  plan.mAnswerWithin = model::duration(*within);
+  plan.mIsResent = isResent;
+  Execute(aExchange, std::move(plan));
+}
+
 } // namespace monsooncroft::gateway
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -33,7 +33,9 @@
       aMember.mConfigVersion,
       (aMember.mReachesStore ? 1 : 0) | (aMember.mLeaving ? 2 : 0),
       aMember.mDirectoryRevision.Pack(),
-      aMember.mStateHeartbeat });
+      aMember.mStateHeartbeat,
+      aMember.mCapacityMillicores,
+      aMember.mRelayPort });
 }
 
 fleet_member
@@ -56,6 +58,10 @@
   }
   member.mStateHeartbeat =
     aArray.size() > 9 ? aArray.at(9).get<std::uint64_t>() : member.mHeartbeat;
+  if (aArray.size() > 11) {
+    member.mCapacityMillicores = aArray.at(10).get<std::uint32_t>();
+    member.mRelayPort = aArray.at(11).get<std::uint16_t>();
+  }
   return member;
 }
 
--- a/src/serving/fleet_membership.cpp
+++ b/src/serving/fleet_membership.cpp
@@ -143,11 +143,22 @@
   std::shuffle(others.begin(), others.end(), mRandom);
   fleet_message message;
   message.mMembers.push_back(mSelf);
+  const std::size_t fullCount =
+    std::min(others.size(), mSettings.mMembersPerMessage - 1);
+  for (std::size_t index = 0; index < fullCount; ++index) {
+    message.mMembers.push_back(others[index]->mMember);
+  }
+  others.erase(others.begin(),
+               others.begin() + static_cast<std::ptrdiff_t>(fullCount));
+  // All instances use the roots, so the news of them must not wait for their
+  // turn among many members.
+  std::stable_partition(
+    others.begin(), others.end(), [](const known_member* aOther) {
+      return aOther->mMember.mRelayPort != 0;
+    });
   for (const known_member* other : others) {
-    if (message.mMembers.size() < mSettings.mMembersPerMessage) {
-      message.mMembers.push_back(other->mMember);
-    } else if (message.mHeartbeats.size() < mSettings.mHeartbeatsPerMessage &&
-               aNow - other->mLastContact <= mSettings.mFailureTimeout) {
+    if (message.mHeartbeats.size() < mSettings.mHeartbeatsPerMessage &&
+        aNow - other->mLastContact <= mSettings.mFailureTimeout) {
       message.mHeartbeats.push_back(
         { other->mMemberHash, other->mMember.mHeartbeat });
     }
@@ -182,6 +193,15 @@
   }
 }
 
+void
+fleet_membership::SetRelayPort(std::uint16_t aPort)
+{
+  if (aPort != mSelf.mRelayPort) {
+    mSelf.mRelayPort = aPort;
+    OnStateChanged();
+  }
+}
+
 void
 fleet_membership::SetLeaving()
 {
--- a/src/serving/fleet_membership_base.h
+++ b/src/serving/fleet_membership_base.h
@@ -65,6 +65,8 @@
   void SetConfigVersion(std::uint64_t aVersion);
   void SetDirectoryRevision(model::store_revision aRevision);
   void SetReachesStore(bool aReaches);
+  /** @param aPort 0 if this instance executes no queries for others. */
+  void SetRelayPort(std::uint16_t aPort);
   void SetSeeds(std::vector<model::endpoint> aSeeds);
   void SetLeaving();
 
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -33,6 +33,9 @@
   std::uint64_t mConfigVersion = 0;
   /** Store revision up to which it knows the leaf registrations. */
   model::store_revision mDirectoryRevision;
+  std::uint32_t mCapacityMillicores = 0; ///< Processor; 0 if unknown.
+  /** Port at which it executes queries for others; 0 if it does not. */
+  std::uint16_t mRelayPort = 0;
   bool mReachesStore = false; ///< Its last calls to the store succeeded.
   bool mLeaving = false;
 
--- a/src/serving/routing_config.cpp
+++ b/src/serving/routing_config.cpp
@@ -22,6 +22,13 @@
   return key;
 }
 
+void
+SortUnique(std::vector<std::string>& aNames)
+{
+  std::sort(aNames.begin(), aNames.end());
+  aNames.erase(std::unique(aNames.begin(), aNames.end()), aNames.end());
+}
+
 } // namespace
 
 std::shared_ptr<const routing_config>
@@ -37,16 +44,18 @@
   for (const route& each : mContent.mRoutes) {
     mByHost[HostKey(each.mHost)].push_back(&each);
     for (const weighted_service& target : each.mTargets) {
-      mRoutedServices.push_back(target.mService);
+      mTargetServices.push_back(target.mService);
     }
     if (each.IsFanOut()) {
       AddShardGroup(each.mShards);
     }
   }
-  std::sort(mRoutedServices.begin(), mRoutedServices.end());
-  mRoutedServices.erase(
-    std::unique(mRoutedServices.begin(), mRoutedServices.end()),
-    mRoutedServices.end());
+  SortUnique(mTargetServices);
+  SortUnique(mShardServices);
+  mRoutedServices = mTargetServices;
+  mRoutedServices.insert(
+    mRoutedServices.end(), mShardServices.begin(), mShardServices.end());
+  SortUnique(mRoutedServices);
   for (auto& [host, routes] : mByHost) {
     std::stable_sort(routes.begin(),
                      routes.end(),
@@ -61,7 +70,7 @@
 {
   const std::string& first = *std::min_element(aShards.begin(), aShards.end());
   for (const std::string& shard : aShards) {
-    mRoutedServices.push_back(shard);
+    mShardServices.push_back(shard);
     std::string& group = mShardGroups.try_emplace(shard, first).first->second;
     group = std::min(group, first);
   }
--- a/src/serving/routing_config_base.h
+++ b/src/serving/routing_config_base.h
@@ -7,6 +7,7 @@
 
 #include "serving/route_type.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string_view>
@@ -54,6 +55,22 @@
    * @return A service of the group, the same for all of them.
    */
   const std::string& GroupOf(const std::string& aService) const;
+  /** Whether a route without fan-out uses the service. */
+  bool IsTarget(const std::string& aService) const
+  {
+    return std::binary_search(
+      mTargetServices.begin(), mTargetServices.end(), aService);
+  }
+  /** Services of routes without fan-out, sorted, without duplicates. */
+  const std::vector<std::string>& TargetServices() const
+  {
+    return mTargetServices;
+  }
+  /** Shards of all fan-outs, sorted, without duplicates. */
+  const std::vector<std::string>& ShardServices() const
+  {
+    return mShardServices;
+  }
   /** Services that the routes use, sorted, without duplicates. */
   const std::vector<std::string>& RoutedServices() const
   {
@@ -68,6 +85,8 @@
   /** Routes by host, longest prefix first. */
   std::unordered_map<std::string, std::vector<const route*>> mByHost;
   std::vector<std::string> mRoutedServices;
+  std::vector<std::string> mTargetServices;
+  std::vector<std::string> mShardServices;
   /** Group of each shard, see GroupOf(). */
   std::unordered_map<std::string, std::string> mShardGroups;
 };
--- /dev/null
+++ b/test/gateway/relay_test.cpp
@@ -0,0 +1,353 @@
+/**
+ * @file relay_test.cpp
+ * Queries that an instance hands to roots, and roots that fail.
+ */
+#include "instance_fixture.h"
+
+#include "gateway/relay_client_base.h"
+
+namespace monsooncroft::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kConfirmation = "HTTP/1.1 102 Processing\r\n\r\n";
+
+std::string
+Result(int aStatus, const std::string& aFields)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) + " Status\r\n" + aFields +
+         "Content-Length: 2\r\n\r\nok";
+}
+
+/** A caller's server that hands each request to a relay_client; its roots are
+ * written by the test. */
+class relay_test : public instance_fixture
+{
+protected:
+  class handler : public request_handler
+  {
+  public:
+    explicit handler(relay_test& aTest)
+      : mTest(aTest)
+    {
+    }
+    void OnRequest(const exchange_ptr& aExchange) override
+    {
+      const model::instant now = event_loop::Now();
+      relayed_query query;
+      query.mExchange = aExchange;
+      query.mRequestId = "r";
+      query.mRouteName = "all";
+      query.mConfigVersion = 7;
+      query.mAnswerBy = now + milliseconds(60);
+      query.mDeadline = now + milliseconds(900);
+      mTest.mClient.Send(
+        std::move(query),
+        [this, aExchange](bool aMayHaveRun) {
+          mTest.mFallback = aMayHaveRun;
+          aExchange->Respond({ 200, {}, "direct" });
+        },
+        now);
+    }
+
+  private:
+    relay_test& mTest;
+  };
+
+  relay_test()
+    : mClient(mLoop,
+              mSettings.mHeaderNames,
+              "self",
+              milliseconds(120),
+              mLog,
+              mMetrics)
+    , mHandler(*this)
+    , mServer(mLoop, mSettings.mCallerAddress, mHandler, mLog)
+  {
+  }
+
+  /** Adds a root; those that were added first are used first. */
+  fake_leaf& AddRoot(fake_leaf::on_request aOnRequest)
+  {
+    mLeaves.push_back(
+      std::make_unique<fake_leaf>(mLoop, mLog, std::move(aOnRequest)));
+    mAddresses.push_back({ "root" + std::to_string(mAddresses.size()),
+                           mLeaves.back()->Address(),
+                           1,
+                           mAddresses.empty() });
+    mClient.SetRoots(mAddresses);
+    return *mLeaves.back();
+  }
+  static fake_leaf::on_request Answering(const std::string& aBytes)
+  {
+    return [=](auto& aConnection, const auto& /*aRequest*/) {
+      aConnection.Write(aBytes);
+    };
+  }
+
+  std::vector<serving::root_address> mAddresses;
+  std::optional<bool> mFallback; ///< Whether the query may have run.
+  relay_client mClient;
+  handler mHandler;
+  uv_http_server mServer;
+};
+
+TEST_F(relay_test, ARootAnswersTheQuery)
+{
+  http_message received;
+  fake_leaf& root = AddRoot([&](auto& aConnection, const auto& aRequest) {
+    received = aRequest;
+    aConnection.Write(kConfirmation + Result(200, "X-Sigs: a\r\n"));
+  });
+  const http_message answer = SendRequest("/all/x?y=1", "r");
+  EXPECT_EQ(answer.mStatus, 200);
+  EXPECT_EQ(answer.mBody, "ok");
+  EXPECT_EQ(*answer.Find("X-Sigs"), "a");
+  EXPECT_EQ(received.mTarget, "/all/x?y=1");
+  EXPECT_EQ(*received.Find("Host"), "h");
+  EXPECT_EQ(*received.Find("X-Id"), "r");
+  EXPECT_EQ(*received.Find("Relay-Config"), "7");
+  EXPECT_GT(std::stol(*received.Find("Relay-Answer-Within")), 10'000);
+  EXPECT_EQ(received.Find("Relay-Resent"), nullptr);
+  EXPECT_LE(std::stol(*received.Find("X-Left")), 900);
+  SendRequest("/all/x", "r");
+  EXPECT_EQ(root.mConnections.size(), 1U); // Kept between queries.
+}
+
+/** A root that is suspended or cut off accepts the connection, or has accepted
+ * it before, and says nothing. */
+TEST_F(relay_test, ARootThatDoesNotConfirmIsReplacedInTime)
+{
+  fake_leaf& silent =
+    AddRoot([](auto& /*aConnection*/, const auto& /*aRequest*/) {});
+  http_message received;
+  AddRoot([&](auto& aConnection, const auto& aRequest) {
+    received = aRequest;
+    aConnection.Write(kConfirmation + Result(200, ""));
+  });
+  const model::instant start = event_loop::Now();
+  EXPECT_EQ(SendRequest("/all/x", "r").mStatus, 200);
+  EXPECT_LT(event_loop::Now() - start, milliseconds(80));
+  EXPECT_EQ(*received.Find("Relay-Resent"), "1");
+  ASSERT_FALSE(silent.mConnections.empty());
+  EXPECT_TRUE(silent.mConnections.front()->Ended()); // Cancels the query.
+  EXPECT_EQ(SendRequest("/all/x", "r").mStatus, 200);
+  EXPECT_EQ(silent.mRequests, 1);
+  EXPECT_FALSE(mFallback);
+}
+
+TEST_F(relay_test, ARootThatRefusesConnectionsHasNotRunTheQuery)
+{
+  AddRoot(Answering("")).Stop();
+  EXPECT_EQ(SendRequest("/all/x", "r").mBody, "direct");
+  EXPECT_EQ(mFallback, std::optional(false));
+}
+
+/** A root that ends with a query may have run it: what follows draws on the
+ * retry budget, and does not say that nothing has run. */
+TEST_F(relay_test, ARootThatEndsWithAQueryMayHaveRunIt)
+{
+  AddRoot([](auto& aConnection, const auto& /*aRequest*/) {
+    aConnection.Write(kConfirmation);
+    aConnection.Reset();
+  });
+  EXPECT_EQ(SendRequest("/all/x", "r").mBody, "direct");
+  EXPECT_EQ(mFallback, std::optional(true));
+  mFallback.reset();
+  RunFor(milliseconds(2'100)); // The root is used again.
+  AddRoot(Answering(kConfirmation + Result(503, "Retry-After: 1\r\n")));
+  EXPECT_EQ(SendRequest("/all/x", "r").mStatus, 502);
+  EXPECT_FALSE(mFallback);
+}
+
+TEST_F(relay_test, OverloadedRootsAreNotAskedAgain)
+{
+  const auto refuse = Answering(Result(503, "Relay-Refused: overloaded\r\n"));
+  fake_leaf& first = AddRoot(refuse);
+  fake_leaf& second = AddRoot(refuse);
+  fake_leaf& third = AddRoot(refuse);
+  const http_message answer = SendRequest("/all/x", "r");
+  EXPECT_EQ(answer.mStatus, 503);
+  EXPECT_NE(answer.Find("Retry-After"), nullptr);
+  EXPECT_EQ(first.mRequests + second.mRequests + third.mRequests, 2);
+  EXPECT_FALSE(mFallback);
+}
+
+TEST_F(relay_test, ARootWithAnOlderConfigurationIsPassedOver)
+{
+  AddRoot(Answering(Result(503, "Relay-Refused: older configuration\r\n")));
+  EXPECT_EQ(SendRequest("/all/x", "r").mBody, "direct");
+  EXPECT_EQ(mFallback, std::optional(false));
+}
+
+TEST_F(relay_test, BytesThatAreNoAnswerAreNotPassedOn)
+{
+  AddRoot(Answering("\x01\x02\x03 no answer\r\n\r\n"));
+  EXPECT_EQ(SendRequest("/all/x", "r").mBody, "direct");
+  RunFor(milliseconds(2'100));
+  mAddresses.clear();
+  AddRoot([](auto& aConnection, const auto& /*aRequest*/) {
+    aConnection.Write(kConfirmation +
+                      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+    aConnection.ShutDown();
+  });
+  EXPECT_EQ(SendRequest("/all/x", "r").mBody, "direct");
+}
+
+TEST_F(relay_test, TheRootLearnsThatTheCallerHasLeft)
+{
+  fake_leaf& root = AddRoot(Answering(kConfirmation));
+  http_channel caller(mLoop, mSettings.mCallerAddress);
+  caller.Call("GET /all/x HTTP/1.1\r\nHost: h\r\nX-Id: r\r\n\r\n",
+              seconds(1),
+              [](const std::optional<http_message>& /*aAnswer*/) {});
+  RunFor(milliseconds(50));
+  ASSERT_EQ(root.mRequests, 1);
+  caller.Cancel();
+  RunFor(milliseconds(50));
+  EXPECT_TRUE(root.mConnections.front()->Ended());
+}
+
+/** Two instances whose leaves accept too few connections for both. */
+class root_test : public instance_fixture
+{
+protected:
+  root_test()
+  {
+    AddLeaf("s1", [](auto& aConnection, const auto& aRequest) {
+      aConnection.Write(OkAnswer(aRequest, "sig1", std::string(16, 'a')));
+    });
+    AddLeaf("s2", [](auto& aConnection, const auto& aRequest) {
+      aConnection.Write(OkAnswer(aRequest, "sig2", std::string(16, 'z')));
+    });
+    AddFanOutRoute({ "s1", "s2" }, 1);
+    mStore.mContent.mServices["s1"] = { 1 };
+    mStore.mContent.mServices["s2"] = { 1 };
+    mRootSettings = mSettings;
+    mRootSettings.mName = "root";
+    mRootSettings.mCapacity = 4;
+    const auto port =
+      static_cast<std::uint16_t>(mSettings.mCallerAddress.mPort + 3'000);
+    mRootSettings.mCallerAddress.mPort = port;
+    mRootSettings.mReadinessAddress.mPort = port + 1;
+    mRootSettings.mPeerAddress.mPort = port + 2;
+    mRootSettings.mRelayAddress = { "127.0.0.1",
+                                    static_cast<std::uint16_t>(port + 1'000) };
+    mSettings.mSeeds = { mRootSettings.mPeerAddress };
+    mRootStore.mLeaves = mStore.mLeaves;
+    mRootStore.mContent = mStore.mContent;
+  }
+  ~root_test() override { mRoot.reset(); }
+  void StartBoth()
+  {
+    mRoot = std::make_unique<entry_instance>(
+      mLoop, mRootSettings, mRootStore, mLog, mRootMetrics, mSink);
+    Start();
+    RunFor(milliseconds(2'000));
+  }
+  /** Queries that the instance without open connections has handed over. */
+  int Relayed() const
+  {
+    const std::string metrics = mMetrics.Exposition();
+    const std::string name = "outcome=\"relayed\"";
+    const auto position = metrics.find(name);
+    return position == std::string::npos
+             ? 0
+             : std::stoi(metrics.substr(metrics.find(' ', position)));
+  }
+  /** Sends a query to the root as another instance does. */
+  http_message Hand(const std::string& aFields)
+  {
+    http_channel channel(mLoop, mRootSettings.mRelayAddress);
+    std::optional<http_message> answer;
+    bool done = false;
+    channel.Call("GET /all/x HTTP/1.1\r\nHost: h\r\nX-Id: q\r\n" + aFields +
+                   "\r\n",
+                 seconds(1),
+                 [&](std::optional<http_message> aAnswer) {
+                   answer = std::move(aAnswer);
+                   done = true;
+                 });
+    for (int round = 0; round < 200 && !done; ++round) {
+      RunFor(milliseconds(10));
+    }
+    return answer.value_or(http_message{});
+  }
+
+  instance_settings mRootSettings;
+  fake_store mRootStore;
+  ops::metrics mRootMetrics;
+  std::unique_ptr<entry_instance> mRoot;
+};
+
+/** Few queries over many instances: an instance without open connections hands
+ * them to one that has them. */
+TEST_F(root_test, AQueryIsExecutedWhereConnectionsAreOpen)
+{
+  StartBoth();
+  const http_message answer = SendRequest("/all/x", "r1");
+  EXPECT_EQ(answer.mStatus, 200);
+  EXPECT_EQ(answer.mBody, std::string(16, 'z') + std::string(16, 'a'));
+  EXPECT_EQ(*answer.Find("X-Sigs"), "sig1, sig2");
+  EXPECT_EQ(*answer.Find("X-Missing"), "0");
+  EXPECT_EQ(Relayed(), 1);
+}
+
+TEST_F(root_test, ARootThatStopsGetsNoFurtherQueries)
+{
+  StartBoth();
+  ASSERT_EQ(SendRequest("/all/x", "r1").mStatus, 200);
+  mRoot->Stop("test");
+  RunFor(milliseconds(500)); // Two gossip rounds.
+  const int before = mLeaves.front()->mRequests;
+  EXPECT_EQ(SendRequest("/all/x", "r2").mStatus, 200);
+  EXPECT_EQ(mLeaves.front()->mRequests, before + 1);
+  EXPECT_EQ(Relayed(), 1);
+}
+
+TEST_F(root_test, QueriesThatCannotBeReadAreRefused)
+{
+  StartBoth();
+  const std::string within = "Relay-Answer-Within: 50000\r\n";
+  const std::vector<std::string> malformed{
+    "",
+    "Relay-Config: 1\r\n",
+    within,
+    within + "Relay-Config: one\r\n",
+    within + "Relay-Config: -1\r\n",
+    "Relay-Config: 1\r\nRelay-Answer-Within: 1 ms\r\n"
+  };
+  for (const std::string& fields : malformed) {
+    const http_message answer = Hand(fields);
+    EXPECT_EQ(answer.mStatus, 503) << fields;
+    EXPECT_NE(answer.Find("Relay-Refused"), nullptr) << fields;
+  }
+  // A configuration that the root does not have yet.
+  EXPECT_EQ(*Hand(within + "Relay-Config: 2\r\n").Find("Relay-Refused"),
+            "older configuration");
+  EXPECT_EQ(mLeaves.front()->mRequests, 0);
+  EXPECT_EQ(Hand(within + "Relay-Config: 1\r\n").mStatus, 200);
+}
+
+/** A query is executed with the configuration of the instance that received it,
+ * which may not have the newest one yet. */
+TEST_F(root_test, AQueryIsExecutedWithTheConfigurationOfItsReceiver)
+{
+  StartBoth();
+  auto changed = mRootStore.mContent;
+  changed.mVersion = 2;
+  changed.mRoutes.front().mShards = { "s1" };
+  mStore.mContent = mRootStore.mContent = changed;
+  fake_store& watched = mStore.mConfigWatch ? mStore : mRootStore;
+  ASSERT_TRUE(watched.mConfigWatch);
+  watched.PublishConfig(changed);
+  RunFor(milliseconds(1'000));
+  const std::string within = "Relay-Answer-Within: 50000\r\n";
+  EXPECT_EQ(*Hand(within + "Relay-Config: 1\r\n").Find("X-Sigs"), "sig1, sig2");
+  EXPECT_EQ(*Hand(within + "Relay-Config: 2\r\n").Find("X-Sigs"), "sig1");
+}
+
+} // namespace
+} // namespace monsooncroft::gateway
