--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -116,7 +116,7 @@
   for (std::size_t index = 0; index < mShards.size(); ++index) {
     if (mShards[index].mFailed) {
       ++unreachable;
-      expected.push_back(model::duration(0));
+      expected.emplace_back(0);
       continue;
     }
     const leaf_endpoint* leaf = ChooseLeaf(index, false, aNow);
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -158,7 +158,7 @@
   plan.mDeadline = aExchange->ReceivedAt() + *timeout;
   if (route->IsFanOut() && mUsesRelay &&
       mContext.mRelay.HasRoot(aExchange->ReceivedAt())) {
-    Relay(aExchange, std::move(plan));
+    Relay(aExchange, plan);
   } else {
     Execute(aExchange, std::move(plan));
   }
@@ -189,7 +189,8 @@
 }
 
 void
-request_dispatcher::Relay(const exchange_ptr& aExchange, query_plan aPlan)
+request_dispatcher::Relay(const exchange_ptr& aExchange,
+                          const query_plan& aPlan)
 {
   relayed_query query;
   query.mExchange = aExchange;
--- a/src/gateway/request_dispatcher_base.h
+++ b/src/gateway/request_dispatcher_base.h
@@ -55,7 +55,7 @@
   /** The configuration of this version, or the newest one if it is not known
    * any more. */
   serving::routing_config_ptr ConfigOfVersion(std::uint64_t aVersion) const;
-  void Relay(const exchange_ptr& aExchange, query_plan aPlan);
+  void Relay(const exchange_ptr& aExchange, const query_plan& aPlan);
   void Execute(const exchange_ptr& aExchange, query_plan aPlan);
   void Refuse(const exchange_ptr& aExchange,
               int aStatus,
