An instance that uses roots is not unready for one failed service

Cause: an instance that hands its fan-outs to roots judged its readiness by the few services of single leaves alone, so that one of three without a leaf was below the least share of 0.75. Change: shards that a root reaches count too. root_test.AFailedServiceDoesNotMakeAnInstanceUnready failed before.

--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -336,6 +336,21 @@
   mBootOffset = offset;
 }
 
+double
+entry_instance::ReachableShare(const serving::routing_config& aConfig,
+                               bool aHasRoot,
+                               model::instant aNow) const
+{
+  if (!aHasRoot) {
+    return mLeaves.ReachableFraction(aConfig.RoutedServices(), aNow);
+  }
+  const auto targets = static_cast<double>(aConfig.TargetServices().size());
+  const auto shards = static_cast<double>(aConfig.ShardServices().size());
+  const double reached =
+    targets * mLeaves.ReachableFraction(aConfig.TargetServices(), aNow);
+  return targets + shards == 0 ? 1 : (reached + shards) / (targets + shards);
+}
+
 void
 entry_instance::CheckReadiness(model::instant aNow)
 {
@@ -344,10 +359,7 @@
   if (mDispatcher.Config()) {
     const bool hasRoot =
       mRole.mUsesRoots && !mRole.mAccepts && mRelay.HasRoot(aNow);
-    reachable = mLeaves.ReachableFraction(
-      hasRoot ? mDispatcher.Config()->TargetServices()
-              : mDispatcher.Config()->RoutedServices(),
-      aNow);
+    reachable = ReachableShare(*mDispatcher.Config(), hasRoot, aNow);
     // Checked only while a data centre is unreachable: other instances may
     // reach its shards, whereas no instance can serve shards that have no
     // leaves anywhere.
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -69,6 +69,11 @@
   void OnTick();
   void OnGossipRound(model::instant aNow);
   void CheckSuspension(model::instant aNow);
+  /** Fraction of the routed services that can be used, through a root or
+   * directly. */
+  double ReachableShare(const serving::routing_config& aConfig,
+                        bool aHasRoot,
+                        model::instant aNow) const;
   void CheckReadiness(model::instant aNow);
   void AddObservation(const leaf_endpoint& aLeaf,
                       std::optional<std::int32_t> aExcessMs);
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -295,6 +295,25 @@
   EXPECT_EQ(Relayed(), 1);
 }
 
+/** An instance that hands its fan-outs to roots has connections to few services
+ * only; it counted as not ready when one of them failed. */
+TEST_F(root_test, AFailedServiceDoesNotMakeAnInstanceUnready)
+{
+  for (const char* service : { "s3", "s4" }) {
+    AddLeaf(service, [](auto& aConnection, const auto& aRequest) {
+      aConnection.Write(OkAnswer(aRequest, "sig", std::string(16, 'a')));
+    });
+    mStore.mContent.mServices[service] = { 1 };
+  }
+  mStore.mContent.mRoutes.back().mShards = { "s1", "s2", "s3", "s4" };
+  AddSingleServiceRoute(serving::repeatability::RunOnce); // Without a leaf.
+  mRootStore.mLeaves = mStore.mLeaves;
+  mRootStore.mContent = mStore.mContent;
+  StartBoth();
+  mSettings.mCallerAddress = mSettings.mReadinessAddress;
+  EXPECT_EQ(SendRequest("/ready", "r").mStatus, 200);
+}
+
 TEST_F(root_test, ARootThatStopsGetsNoFurtherQueries)
 {
   StartBoth();
