Observations of leaves go to the roots of the own data centre

Every slow answer was told to all roots, each tick, across data centres. Roots of other data centres use these leaves for hedges only.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -162,8 +162,9 @@
   serving::fleet_message message;
   message.mLeafObservations = std::move(aObservations);
   auto members = mFleet.LiveMembers(aNow);
-  std::erase_if(members, [](const serving::fleet_member& aMember) {
-    return aMember.mRelayPort == 0;
+  std::erase_if(members, [this](const serving::fleet_member& aMember) {
+    return aMember.mRelayPort == 0 ||
+           aMember.mDataCentre != mFleet.Self().mDataCentre;
   });
   SendToPeers(members, std::move(message));
 }
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -88,7 +88,8 @@
   void SetRelayPort(std::uint16_t aPort, model::instant aNow);
   const serving::routing_config_ptr& Config() const { return mConfig; }
   bool ConfigIsCurrent(model::instant aNow) const;
-  /** Sends leaf observations to the roots, which use the same leaves. */
+  /** Sends leaf observations to the roots of this data centre, which use the
+   * same leaves. */
   void SendToRoots(std::vector<serving::leaf_observation> aObservations,
                    model::instant aNow);
   /** Sends leaf observations and unreachable data centres to the instances of
