--- a/src/serving/fleet_membership.cpp
+++ b/src/serving/fleet_membership.cpp
@@ -150,7 +150,7 @@
   }
   others.erase(others.begin(),
                others.begin() + static_cast<std::ptrdiff_t>(fullCount));
-  // All instances use the roots, so the news of them must not wait for their
+  // All instances use the roots: the roots' heartbeats do not wait for their
   // turn among many members.
   std::stable_partition(
     others.begin(), others.end(), [](const known_member* aOther) {
--- a/src/serving/leaf_notice_table.cpp
+++ b/src/serving/leaf_notice_table.cpp
@@ -88,7 +88,7 @@
 std::vector<leaf_departure>
 leaf_notice_table::NextReports(
   std::size_t aMaxCount,
-  const std::function<bool(const std::string&)>& aIsNews)
+  const std::function<bool(const std::string&)>& aIsRelevant)
 {
   std::vector<leaf_departure> reports;
   auto next = mNotices.upper_bound(mLastReported);
@@ -98,7 +98,7 @@
     if (next == mNotices.end()) {
       next = mNotices.begin();
     }
-    if (next->second.mLeavingStartedBy != 0 && aIsNews(next->first)) {
+    if (next->second.mLeavingStartedBy != 0 && aIsRelevant(next->first)) {
       reports.push_back({ next->first, next->second.mLeavingStartedBy });
       mLastReported = next->first;
     }
--- a/src/serving/leaf_notice_table_base.h
+++ b/src/serving/leaf_notice_table_base.h
@@ -49,11 +49,12 @@
   /**
    * Departures for peers. Successive calls return each of them in turn.
    * @param aMaxCount Maximum number of reports.
-   * @param aIsNews Whether peers may take the leaf of this id for one in use.
+   * @param aIsRelevant Whether peers may still send requests to the leaf of
+   * this id.
    */
   std::vector<leaf_departure> NextReports(
     std::size_t aMaxCount,
-    const std::function<bool(const std::string&)>& aIsNews);
+    const std::function<bool(const std::string&)>& aIsRelevant);
   /** Forgets leaves that have not been registered for long.
    * @param aIsRegistered Whether the leaf of this id is registered. */
   void OnTimer(const std::function<bool(const std::string&)>& aIsRegistered,
--- a/test/adapter/decode_test.cpp
+++ b/test/adapter/decode_test.cpp
@@ -42,6 +42,21 @@
   EXPECT_EQ(settings.mStopBound, milliseconds(6'000));
 }
 
+/** Roots are chosen by their processors, and listen at the second internal
+ * port. */
+TEST(SettingsFile, ProcessorAndRelayPort)
+{
+  const auto parsed =
+    ParseSettings(kSettings + "limits: { cpu_share: 0.12, cores: 2 }\n");
+  ASSERT_TRUE(std::holds_alternative<gateway::instance_settings>(parsed));
+  const auto& settings = std::get<gateway::instance_settings>(parsed);
+  EXPECT_DOUBLE_EQ(settings.mCapacity, 0.24);
+  EXPECT_EQ(settings.mRelayAddress, (model::endpoint{ "10.1.0.9", 7381 }));
+  const auto wrong = ParseSettings(kSettings + "limits: { cpu_share: 0 }\n");
+  ASSERT_TRUE(std::holds_alternative<settings_errors>(wrong));
+  EXPECT_EQ(std::get<settings_errors>(wrong).size(), 2U);
+}
+
 TEST(SettingsFile, ReportsEveryErrorWithPathFoundAndAllowed)
 {
   const auto parsed = ParseSettings(R"(
