--- a/test/adapter/restored_store_test.cpp
+++ b/test/adapter/restored_store_test.cpp
@@ -25,7 +25,7 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kInstances = 6;
-constexpr std::uint16_t kFirstPort = 47'400;
+constexpr std::uint16_t kFirstPort = 29'500;
 /** A confirmed configuration must be in force after this time. */
 constexpr seconds kConfigBound{ 3 };
 constexpr int kLeaves = 20;
--- a/test/gateway/control_plane_test.cpp
+++ b/test/gateway/control_plane_test.cpp
@@ -23,7 +23,7 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kInstances = 24;
-constexpr std::uint16_t kFirstPort = 47'300;
+constexpr std::uint16_t kFirstPort = 29'300;
 /** A draining leaf must get no more work after this time. */
 constexpr seconds kDrainBound{ 3 };
 
