Tests of an instance ignore SIGPIPE, as the product's processes do

test_gateway ended with SIGPIPE in AnswersWithoutEndAreCutOff, once: the leaf of the test, in the same process, writes on after the instance has reset the connection.

--- a/test/gateway/instance_fixture.h
+++ b/test/gateway/instance_fixture.h
@@ -14,6 +14,7 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <fcntl.h>
 
 namespace monsooncroft::gateway {
@@ -27,6 +28,7 @@
                                                 1U << 20U))
     , mLog("test", ops::log_level::Info, mSink)
   {
+    std::signal(SIGPIPE, SIG_IGN); // As the product's processes do.
     sPort = static_cast<std::uint16_t>(sPort + 3);
     mSettings.mName = "test";
     mSettings.mDataCentre = "dc";
