Ports of test_gateway apart from those of test_process

leaf_notices.PeersLearnOfADeparture could not listen on 26500, once: a test of test_process that ran beside it uses the ports from 26000 on.

--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -478,13 +478,13 @@
   AddSingleServiceRoute(serving::repeatability::Idempotent);
   std::vector<instance_settings> settings;
   for (std::uint16_t index = 0; index < 3; ++index) {
-    const auto port = static_cast<std::uint16_t>(26'400 + 3 * index);
+    const auto port = static_cast<std::uint16_t>(32'600 + 3 * index);
     settings.push_back(mSettings);
     settings.back().mName = "other" + std::to_string(index);
     settings.back().mCallerAddress.mPort = port;
     settings.back().mReadinessAddress.mPort = port + 1;
     settings.back().mPeerAddress.mPort = port + 2;
-    settings.back().mSeeds = { { "127.0.0.1", 26'402 } };
+    settings.back().mSeeds = { { "127.0.0.1", 32'602 } };
   }
   std::vector<std::unique_ptr<entry_instance>> instances;
   for (const instance_settings& each : settings) {
--- a/test/gateway/leaf_notices_test.cpp
+++ b/test/gateway/leaf_notices_test.cpp
@@ -172,9 +172,9 @@
   AddSingleServiceRoute(serving::repeatability::Idempotent);
   instance_settings other = mSettings;
   other.mName = "other";
-  other.mCallerAddress.mPort = 26'500;
-  other.mReadinessAddress.mPort = 26'501;
-  other.mPeerAddress.mPort = 26'502;
+  other.mCallerAddress.mPort = 32'500;
+  other.mReadinessAddress.mPort = 32'501;
+  other.mPeerAddress.mPort = 32'502;
   mSettings.mSeeds = { other.mPeerAddress };
   fake_store otherStore;
   otherStore.mLeaves = mStore.mLeaves;
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -229,7 +229,7 @@
     mRootSettings.mName = "root";
     mRootSettings.mCapacity = 4;
     const auto port =
-      static_cast<std::uint16_t>(mSettings.mCallerAddress.mPort + 4'500);
+      static_cast<std::uint16_t>(mSettings.mCallerAddress.mPort + 7'000);
     mRootSettings.mCallerAddress.mPort = port;
     mRootSettings.mReadinessAddress.mPort = port + 1;
     mRootSettings.mPeerAddress.mPort = port + 2;
