--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -28,6 +28,9 @@
 NOT_EXECUTED = "X-Monsooncroft-Not-Executed"
 
 
+PAGE_ITEMS = 50  # As in the site file; PROTOCOL.md: "at most about 500 items".
+
+
 def trouble():
     """Whether the disruption is to be injected."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -174,7 +177,7 @@
         prefix = query.get("prefix", "")
         if parts.path == "/monsooncroft/kv-range":
             keys = sorted(k for k in self.items if k.startswith(prefix) and k > query.get("after", ""))
-            page = keys[:500]
+            page = keys[:PAGE_ITEMS]
             return 200, {
                 "items": [self.items[key] for key in page],
                 "has_more": len(keys) > len(page),
@@ -203,11 +206,13 @@
                 message = await read_message(reader)
                 if message is None:
                     break
-                status, body = await self.answer(message[0].split(" ")[1])
+                words = message[0].split(" ")
+                # A request line with further spaces is malformed.
+                status, body = await self.answer(words[1]) if len(words) == 3 else (400, {})
                 writer.write(
                     response(
                         status,
-                        "OK" if status == 200 else "Not Found",
+                        {200: "OK", 400: "Bad Request"}.get(status, "Not Found"),
                         [("Content-Type", "application/json")],
                         json.dumps(body).encode(),
                     )
@@ -270,10 +275,12 @@
         return True
 
     def release_slot(self):
-        if self.waiting:
-            self.waiting.pop(0).set_result(None)
-        else:
-            self.busy -= 1
+        while self.waiting:
+            waiter = self.waiting.pop(0)
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+        self.busy -= 1
 
     def stamp(self, request_id):
         return f"{self.name}.{request_id}.{self.runs[request_id]}"
@@ -460,36 +467,6 @@
         self.reader = self.writer = None
 
 
-class Balancer:
-    """Asks each instance once a second whether it is ready; two misses in a row take it out of rotation."""
-
-    def __init__(self, record, instances):
-        self.record, self.instances = record, instances
-        self.misses = {instance.name: 0 for instance in instances}
-        self.asked = asyncio.Event()
-
-    async def run(self):
-        while True:
-            self.asked.clear()
-            states = await asyncio.gather(*(instance.ready() for instance in self.instances))
-            for instance, state in zip(self.instances, states):
-                before = self.misses[instance.name]
-                self.misses[instance.name] = 0 if state else before + 1
-                if (before >= 2) != (self.misses[instance.name] >= 2):
-                    self.record.write("rotation", instance=instance.name, takes_connections=state)
-            self.asked.set()
-            await asyncio.sleep(1)
-
-    def choose(self, zone, number):
-        """The instance for a new connection of a client of that zone."""
-        nodes = [each for each in self.instances if each.settings["zone"] == zone]
-        rotation = [each for each in nodes if self.misses[each.name] < 2]
-        if rotation and 2 * len(rotation) < len(nodes):
-            rotation = nodes
-        rotation = rotation or [each for each in self.instances if self.misses[each.name] < 2] or nodes
-        return rotation[number % len(rotation)]
-
-
 class Deployment:
     """A store, entry instances in three zones and leaves."""
 
