A leaf's failure is not passed on as a word that the request has not run

Cause: the instance knew from the missing field that the request may have run and did not send it again, and still passed the leaf's status on. Between leaf and instance the field says whether a request has run; between instance and caller the status does: 408, 421, 429 and 503 say that it has not and never will.

Ruled out: a second send, and an answer of another request.

Change: MeansNotRun() names these statuses. A leaf's failure with one of them and without the field ends as 502 without the leaf's signature, with a reason of its own in log and metrics. The same for what a root answers when a root before it may have run the query, where only 503 was turned into 502. It works because 502 promises nothing, and requests that may be repeated come again after it as after 503.

--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -473,10 +473,14 @@
     return;
   }
   mMayHaveRun = true;
-  mLastReason = success ? "answer without signature" : "the leaf failed";
-  if (!success) {
-    mLeafFailure = std::move(aAnswer);
+  if (success) {
+    mLastReason = "answer without signature";
+    return;
   }
+  mLastReason = MeansNotRun(aAnswer.mStatus)
+                  ? "refused by the leaf, may have run"
+                  : "the leaf failed";
+  mLeafFailure = std::move(aAnswer);
 }
 
 bool
--- a/src/gateway/query_execution_answer.cpp
+++ b/src/gateway/query_execution_answer.cpp
@@ -110,7 +110,8 @@
     response.mFields.push_back(
       { "Retry-After",
         FormatSeconds(std::max(mContext.mSettings.mRetryAfter, delay)) });
-  } else if (!mPlan.mRoute->IsFanOut() && mLeafFailure.mStatus != 0) {
+  } else if (!mPlan.mRoute->IsFanOut() && mLeafFailure.mStatus != 0 &&
+             !MeansNotRun(mLeafFailure.mStatus)) {
     response = ForwardedAnswer(mLeafFailure);
   } else {
     response.mStatus = aNow >= mRequirements.mDeadline ? 504 : 502;
--- a/src/gateway/relay_client.cpp
+++ b/src/gateway/relay_client.cpp
@@ -164,8 +164,8 @@
       return;
     }
     http_response response = ForwardedAnswer(*aAnswer);
-    if (response.mStatus == 503 && mMayHaveRun) {
-      response = { 502, {}, {} }; // 503 promises that nothing has run.
+    if (MeansNotRun(response.mStatus) && mMayHaveRun) {
+      response = { 502, {}, {} };
     }
     Respond(response, now);
   }
--- a/src/gateway/request_head.cpp
+++ b/src/gateway/request_head.cpp
@@ -29,6 +29,8 @@
   "Proxy-Authorization"
 };
 
+constexpr std::array<int, 4> kNotRunStatuses{ 408, 421, 429, 503 };
+
 /** Whether a comma-separated list, as in Connection, contains the name. */
 bool
 ContainsName(std::string_view aList, std::string_view aName)
@@ -121,6 +123,13 @@
   return response;
 }
 
+bool
+MeansNotRun(int aStatus)
+{
+  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), aStatus) !=
+         kNotRunStatuses.end();
+}
+
 std::string
 FormatSeconds(std::chrono::milliseconds aTime)
 {
--- a/src/gateway/request_head_func.h
+++ b/src/gateway/request_head_func.h
@@ -34,6 +34,11 @@
 http_response
 ForwardedAnswer(const http_message& aAnswer);
 
+/** Whether a status tells the caller that no leaf has run the request and none
+ * will: 408, 421, 429 and 503. */
+bool
+MeansNotRun(int aStatus);
+
 /** Formats a time in seconds with a fraction, as in Retry-After. */
 std::string
 FormatSeconds(std::chrono::milliseconds aTime);
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -108,6 +108,40 @@
   EXPECT_EQ(other.mRequests, 1);
 }
 
+/** A leaf's own 408, 429 or 503 for a request that it ran reached the caller,
+ * for whom these statuses mean that the request has not run. */
+TEST_F(instance_test, FailureOfALeafDoesNotSayThatTheRequestHasNotRun)
+{
+  std::string status;
+  auto& leaf = AddLeaf("plain", [&](auto& aConnection, const auto& aRequest) {
+    aConnection.Write("HTTP/1.1 " + status +
+                      " Busy\r\nX-Id: " + *aRequest.Find("X-Id") +
+                      "\r\nX-Sig: s\r\nContent-Length: 4\r\n\r\nbusy");
+  });
+  AddSingleServiceRoute(serving::repeatability::RunOnce);
+  AddSingleServiceRoute(serving::repeatability::Idempotent);
+  mStore.mContent.mRoutes.back().mName = "repeatable";
+  mStore.mContent.mRoutes.back().mPrefix = "/repeatable/";
+  Start();
+  int count = 0;
+  for (const char* target : { "/one/x", "/repeatable/x" }) {
+    for (const char* each : { "408", "429", "503" }) {
+      status = each;
+      leaf.mRequests = 0;
+      const http_message answer =
+        SendRequest(target, "r" + std::to_string(++count));
+      EXPECT_EQ(answer.mStatus, 502) << target << " " << each;
+      EXPECT_EQ(answer.Find("X-Sig"), nullptr) << target << " " << each;
+      EXPECT_GE(leaf.mRequests, 1) << target << " " << each;
+      RunFor(milliseconds(20));
+    }
+  }
+  status = "500";
+  const http_message answer = SendRequest("/one/x", "last");
+  EXPECT_EQ(answer.mStatus, 500);
+  EXPECT_NE(answer.Find("X-Sig"), nullptr);
+}
+
 /** A leaf that closed an idle connection before its first use was taken for a
  * leaf at its connection limit and got no connection for a second; this
  * happened at all leaves at the same time. */
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -162,6 +162,25 @@
   EXPECT_FALSE(mFallback);
 }
 
+/** Of the statuses that mean that a request has not run, only 503 was withheld
+ * from a caller whose query a lost root may have run. */
+TEST_F(relay_test, NoStatusSaysThatAQueryThatALostRootMayHaveRunHasNotRun)
+{
+  std::string answer;
+  AddRoot([](auto& aConnection, const auto& /*aRequest*/) {
+    aConnection.Write(kConfirmation);
+    aConnection.Reset();
+  });
+  AddRoot([&](auto& aConnection, const auto& /*aRequest*/) {
+    aConnection.Write(answer);
+  });
+  for (const int status : { 408, 421, 429, 503 }) {
+    answer = kConfirmation + Result(status, "");
+    EXPECT_EQ(SendRequest("/all/x", "r").mStatus, 502) << status;
+    RunFor(milliseconds(2'100)); // The first root is used again.
+  }
+}
+
 TEST_F(relay_test, OverloadedRootsAreNotAskedAgain)
 {
   const auto refuse = Answering(Result(503, "Relay-Refused: overloaded\r\n"));
