A request is not sent again on a connection that has carried it

Cause: an answer is matched to a send by the request's id, and all sends of one request have one id. A leaf refuses the request and sends a second copy of that answer late; the instance has meanwhile sent the request again over the same connection, and takes the copy for the answer to this second send, which the leaf is running.

Ruled out: answers on other connections (a copy arrives only where the answer came), answers to other requests (they are skipped by their id).

Change: a connection remembers the requests in progress that it has carried, and carries none of them again. The second send waits for another connection; where the allocation has no room for one, an idle one is replaced. Others that wait use the first meanwhile. On a connection that has not carried the request there is no answer of which a copy could come.

--- a/src/gateway/leaf_connection.cpp
+++ b/src/gateway/leaf_connection.cpp
@@ -86,10 +86,23 @@
          (!mIdleTimeout || aNow - mStateSince < *mIdleTimeout - kIdleMargin);
 }
 
+bool
+leaf_connection::HasCarried(
+  const std::shared_ptr<const leaf_request>& aRequest) const
+{
+  return std::any_of(
+    mCarried.begin(), mCarried.end(), [&](const auto& aCarried) {
+      return aCarried.lock() == aRequest;
+    });
+}
+
 void
 leaf_connection::Send(const leaf_attempt_ptr& aAttempt, model::instant aNow)
 {
   mAttempt = aAttempt;
+  std::erase_if(mCarried,
+                [](const auto& aCarried) { return aCarried.expired(); });
+  mCarried.push_back(aAttempt->mRequest);
   // Not aNow: sending many requests in one iteration takes time on a slow
   // machine.
   mAttempt->mSentAt = event_loop::Now();
--- a/src/gateway/leaf_connection_base.h
+++ b/src/gateway/leaf_connection_base.h
@@ -9,6 +9,9 @@
 #include "gateway/leaf_attempt_type.h"
 #include "gateway/stream_handler_base.h"
 
+#include <memory>
+#include <vector>
+
 namespace monsooncroft::model {
 struct endpoint;
 }
@@ -38,6 +41,10 @@
   /** Whether a request can be sent now. */
   bool Usable(model::instant aNow) const;
   bool Busy() const { return mState == state::Busy; }
+  /** Whether the request was sent on this connection before. It must not be
+   * sent here again: a second copy of the first answer has the same request id,
+   * and would be taken for the answer to the second send. */
+  bool HasCarried(const std::shared_ptr<const leaf_request>& aRequest) const;
   /** Time since the last request ended; 0 if the connection is not idle. */
   model::duration IdleTime(model::instant aNow) const
   {
@@ -71,6 +78,8 @@
   std::unique_ptr<tcp_stream> mStream;
   http_reader mReader;
   leaf_attempt_ptr mAttempt;
+  /** Requests in progress that were sent on this connection. */
+  std::vector<std::weak_ptr<const leaf_request>> mCarried;
   model::instant mStateSince; ///< Start of the current state.
   model::instant mConnectedAt;
   /** Idle time after which the leaf closes, from its Keep-Alive field. */
--- a/src/gateway/leaf_endpoint.cpp
+++ b/src/gateway/leaf_endpoint.cpp
@@ -109,11 +109,18 @@
   DropExpired(aNow);
   // An expired attempt's observer may have used this connection for another
   // attempt.
-  if (mQueue.empty() || !aConnection.Usable(aNow)) {
+  if (!aConnection.Usable(aNow)) {
     return;
   }
-  const leaf_attempt_ptr attempt = mQueue.front();
-  mQueue.pop_front();
+  const auto next =
+    std::find_if(mQueue.begin(), mQueue.end(), [&](const auto& aQueued) {
+      return !aConnection.HasCarried(aQueued->mRequest);
+    });
+  if (next == mQueue.end()) {
+    return;
+  }
+  const leaf_attempt_ptr attempt = *next;
+  mQueue.erase(next);
   aConnection.Send(attempt, aNow);
 }
 
@@ -147,13 +154,30 @@
       SendNextQueued(*mConnections[position], aNow);
     }
   }
-  if (ConnectingCount() < mQueue.size() &&
-      mConnections.size() < mAllocation.mMaxConnections && !mRetired &&
-      !mLoad.InConnectBackoff(aNow) && aNow >= mConnectionLimitUntil) {
+  if (ConnectingCount() >= mQueue.size() || mRetired ||
+      mLoad.InConnectBackoff(aNow) || aNow < mConnectionLimitUntil) {
+    return;
+  }
+  if (mConnections.size() >= mAllocation.mMaxConnections) {
+    CloseOneUsable(aNow);
+  }
+  if (mConnections.size() < mAllocation.mMaxConnections) {
     OpenConnection();
   }
 }
 
+void
+leaf_endpoint::CloseOneUsable(model::instant aNow)
+{
+  const auto usable =
+    std::find_if(mConnections.begin(),
+                 mConnections.end(),
+                 [&](const auto& aOwned) { return aOwned->Usable(aNow); });
+  if (usable != mConnections.end()) {
+    (*usable)->Close(attempt_end::NotSent, "carried the waiting request");
+  }
+}
+
 void
 leaf_endpoint::OpenConnection()
 {
--- a/src/gateway/leaf_endpoint_base.h
+++ b/src/gateway/leaf_endpoint_base.h
@@ -150,6 +150,9 @@
   void ForEachConnection(
     const std::function<void(leaf_connection&)>& aFunction);
   void SendNextQueued(leaf_connection& aConnection, model::instant aNow);
+  /** Closes an idle connection that has carried all queued requests, if there
+   * is one, so that another one may be opened. */
+  void CloseOneUsable(model::instant aNow);
   void DropExpired(model::instant aNow);
   void CloseIdle(model::instant aNow);
   void ReportCrashes(const once::settled_suspicions& aSettled);
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -142,6 +142,104 @@
   EXPECT_NE(answer.Find("X-Sig"), nullptr);
 }
 
+/** A leaf refuses a request and sends a second copy of that answer where the
+ * next one is expected. The copy was taken for the answer to the second send of
+ * the request, which the leaf was running: the request ran twice, or its caller
+ * was told that it had not run. */
+class second_copy_test : public instance_fixture
+{
+protected:
+  /** Starts an instance with one leaf that refuses the first send of every
+   * second request and runs all others.
+   * @param aConnections Connections that the leaf accepts. */
+  void StartWithOneLeaf(int aMaxAttempts, int aConnections)
+  {
+    AddLeaf("plain", [this](auto& aConnection, const auto& aRequest) {
+      const std::string id = *aRequest.Find("X-Id");
+      const auto copy = mCopies.find(&aConnection);
+      if (copy != mCopies.end()) {
+        aConnection.Write(copy->second);
+        mCopies.erase(copy);
+      }
+      if (++mSends[id] == 1 && id.back() % 2 == 0) {
+        const std::string refusal = "HTTP/1.1 503 Full\r\nX-Id: " + id +
+                                    "\r\nX-Not: 1\r\nContent-Length: "
+                                    "0\r\n\r\n";
+        aConnection.Write(refusal);
+        mCopies[&aConnection] = refusal;
+        return;
+      }
+      ++mRuns[id];
+      mTimers.push_back(std::make_unique<loop_timer>(
+        mLoop, [&aConnection, answer = OkAnswer(aRequest, "s", "x")] {
+          aConnection.Write(answer);
+        }));
+      mTimers.back()->Start(milliseconds(10));
+    });
+    AddSingleServiceRoute(serving::repeatability::RunOnce);
+    mStore.mContent.mRoutes.back().mMaxAttempts = aMaxAttempts;
+    mStore.mContent.mServices["plain"] = { aConnections };
+    Start();
+  }
+
+  void ExpectEachRequestToRunOnce()
+  {
+    for (int request = 0; request < 5; ++request) {
+      const std::string id = "r" + std::to_string(request);
+      EXPECT_EQ(SendRequest("/one/x", id).mStatus, 200) << id;
+      RunFor(milliseconds(30));
+      EXPECT_EQ(mRuns[id], 1) << id;
+    }
+  }
+
+  std::map<fake_leaf::connection*, std::string> mCopies;
+  std::map<std::string, int> mSends; ///< By request id, like mRuns.
+  std::map<std::string, int> mRuns;
+  std::vector<std::unique_ptr<loop_timer>> mTimers;
+};
+
+TEST_F(second_copy_test, RefusedRequestIsNotReportedAsNotRunWhileItRuns)
+{
+  StartWithOneLeaf(2, 8);
+  ExpectEachRequestToRunOnce();
+}
+
+TEST_F(second_copy_test, RefusedRequestDoesNotRunTwice)
+{
+  StartWithOneLeaf(3, 8);
+  ExpectEachRequestToRunOnce();
+}
+
+TEST_F(second_copy_test, TheOnlyConnectionIsReplacedBeforeTheSecondSend)
+{
+  StartWithOneLeaf(3, 1);
+  ExpectEachRequestToRunOnce();
+}
+
+/** A request that waits for a new connection does not keep others from the one
+ * that it must not use again. */
+TEST_F(second_copy_test, OtherRequestsUseTheConnectionMeanwhile)
+{
+  StartWithOneLeaf(2, 8);
+  std::vector<std::unique_ptr<http_channel>> callers;
+  std::vector<int> statuses;
+  for (int request = 0; request < 12; ++request) {
+    callers.push_back(
+      std::make_unique<http_channel>(mLoop, mSettings.mCallerAddress));
+    callers.back()->Call("GET /one/x HTTP/1.1\r\nHost: h\r\nX-Id: r" +
+                           std::to_string(request) + "\r\nX-Left: 900\r\n\r\n",
+                         seconds(1),
+                         [&](const std::optional<http_message>& aAnswer) {
+                           statuses.push_back(aAnswer ? aAnswer->mStatus : 0);
+                         });
+  }
+  RunFor(milliseconds(900));
+  EXPECT_EQ(statuses, std::vector<int>(12, 200));
+  for (const auto& [id, runs] : mRuns) {
+    EXPECT_EQ(runs, 1) << id;
+  }
+}
+
 /** A leaf that closed an idle connection before its first use was taken for a
  * leaf at its connection limit and got no connection for a second; this
  * happened at all leaves at the same time. */
