Time in which an instance is busy does not count against a root

Cause: the wait for the confirmation was ended by timers alone. A second timer of 1 ms was to let the sockets be read before, but starting any timer updates the loop's clock, so that both ran in one pass over the timers of a busy loop; and a connection that was established meanwhile left no time for the confirmation at all.

Ruled out: a cut (the root's data centre was in reach), a slow root (it had answered before the receiver gave it up).

Change: when the time is over, the socket is asked whether something has arrived that the loop has not reported. If so it is read first. The wait for the confirmation counts from the time at which the query was written.

Failed before: relay_test.AConfirmationCountsThatArrivesWhileTheInstanceIsBusy, relay_test.AConnectionCountsThatIsEstablishedWhileTheInstanceIsBusy.

--- a/src/gateway/http_channel.cpp
+++ b/src/gateway/http_channel.cpp
@@ -44,9 +44,10 @@
 {
   mOnResponse = std::move(aOnResponse);
   mOnInterim = std::move(aOnInterim);
-  mSent = mStream && mConnected;
+  mSentAt.reset();
   mTimer.Start(aTimeout);
   if (mStream && mConnected) {
+    mSentAt = event_loop::Now();
     mStream->Write(std::move(aRequest));
     return;
   }
@@ -58,6 +59,12 @@
   }
 }
 
+bool
+http_channel::HasUnreportedEvent() const
+{
+  return mStream && mStream->HasUnreportedEvent();
+}
+
 void
 http_channel::OnConnected(bool aSuccess)
 {
@@ -66,7 +73,7 @@
     return;
   }
   mConnected = true;
-  mSent = true;
+  mSentAt = event_loop::Now();
   mStream->StartReading();
   mStream->Write(std::move(mPendingRequest));
   mPendingRequest.clear();
--- a/src/gateway/http_channel_base.h
+++ b/src/gateway/http_channel_base.h
@@ -48,8 +48,11 @@
   void Cancel();
   bool Busy() const { return mOnResponse != nullptr; }
   bool Connected() const { return mConnected; }
-  /** Whether the last call was written to a connection. */
-  bool Sent() const { return mSent; }
+  /** When the last call was written to a connection; nothing if it was not. */
+  std::optional<model::instant> SentAt() const { return mSentAt; }
+  /** Whether the loop will report something of the connection when it next
+   * polls. */
+  bool HasUnreportedEvent() const;
   void SetServer(const model::endpoint& aServer);
 
   void OnConnected(bool aSuccess) override;
@@ -69,7 +72,7 @@
   response_handler mOnResponse;
   interim_handler mOnInterim;
   bool mConnected = false;
-  bool mSent = false; ///< See Sent().
+  std::optional<model::instant> mSentAt; ///< See SentAt().
 };
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/relay_client.cpp
+++ b/src/gateway/relay_client.cpp
@@ -19,10 +19,11 @@
 
 namespace {
 
-/** Time in which a root confirms a query: a connection and a round trip between
- * data centres, and a fan-out that occupies the root. */
+/** Time in which a connection to a root is established, and in which the root
+ * then confirms a query: a round trip between data centres, and a fan-out that
+ * occupies the root. */
 constexpr std::chrono::milliseconds kConfirmationTimeout{ 20 };
-/** Time in which sockets are read after the timeout. */
+/** Time in which the loop handles what has arrived. */
 constexpr std::chrono::milliseconds kReadGrace{ 1 };
 /** Time for which a root that did not confirm a query gets no other one; by
  * then peers know whether it is reachable. */
@@ -78,7 +79,6 @@
     }
     mTried.push_back(root->mAddress.mName);
     mConfirmed = false;
-    mTimerFired = false;
     mChannel = mClient.TakeChannel(*root);
     mTimer.Start(kConfirmationTimeout);
     mChannel->Call(
@@ -122,13 +122,20 @@
 
   void OnUnconfirmed()
   {
-    // The confirmation may have arrived while this instance was busy: timers
-    // run before sockets are read.
-    if (!std::exchange(mTimerFired, true)) {
+    // While this instance was busy, the confirmation may have arrived or the
+    // connection may have been established: timers run before sockets are read,
+    // and several may run before the next read.
+    if (mChannel->HasUnreportedEvent()) {
       mTimer.Start(kReadGrace);
       return;
     }
-    mClient.Suspect(mTried.back(), event_loop::Now());
+    const model::instant now = event_loop::Now();
+    const auto sentAt = mChannel->SentAt();
+    if (sentAt && now < *sentAt + kConfirmationTimeout) {
+      mTimer.Start(*sentAt + kConfirmationTimeout - now);
+      return;
+    }
+    mClient.Suspect(mTried.back(), now);
     mReason = "not confirmed";
     mChannel->Cancel(); // Calls OnAnswer().
   }
@@ -138,7 +145,7 @@
     const auto self = shared_from_this();
     const model::instant now = event_loop::Now();
     mTimer.Stop();
-    const bool wasSent = mChannel->Sent();
+    const bool wasSent = mChannel->SentAt().has_value();
     mClient.ReturnChannel(mTried.back(), std::move(mChannel));
     if (mCallerLeft) {
       return;
@@ -211,7 +218,6 @@
   std::vector<std::string> mTried; ///< Names of roots, the current one last.
   std::unique_ptr<http_channel> mChannel;
   loop_timer mTimer; ///< Ends the wait for the confirmation.
-  bool mTimerFired = false;
   bool mConfirmed = false;
   bool mMayHaveRun = false;
   bool mOverloaded = false; ///< A root has refused the query.
--- a/src/gateway/tcp_stream.cpp
+++ b/src/gateway/tcp_stream.cpp
@@ -9,6 +9,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <uv.h>
 
@@ -100,6 +101,7 @@
     delete aRequest;
     if (self != nullptr) {
       self->mLoop.RecordEvent();
+      self->mConnecting = false;
       self->mHandler->OnConnected(aStatus == 0);
     }
   }
@@ -139,6 +141,7 @@
   }
   std::unique_ptr<tcp_stream> stream(new tcp_stream(aLoop));
   stream->mHandler = &aHandler;
+  stream->mConnecting = true;
   auto request = std::make_unique<uv_connect_t>();
   const int failed = uv_tcp_connect(request.get(),
                                     stream->mHandle,
@@ -238,4 +241,18 @@
     reinterpret_cast<const uv_stream_t*>(mHandle));
 }
 
+bool
+tcp_stream::HasUnreportedEvent() const
+{
+  pollfd socket{};
+  socket.events = mConnecting ? POLLOUT : POLLIN;
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(mHandle), &descriptor) !=
+      0) {
+    return false;
+  }
+  socket.fd = descriptor;
+  return ::poll(&socket, 1, 0) > 0;
+}
+
 } // namespace monsooncroft::gateway
--- a/src/gateway/tcp_stream_base.h
+++ b/src/gateway/tcp_stream_base.h
@@ -58,6 +58,9 @@
   } ///< Makes the destructor send a reset, so that the other side stops
     ///< immediately.
   std::size_t PendingBytes() const; ///< Bytes not yet passed to the kernel.
+  /** Whether something has happened that the handler will be told when the loop
+   * next polls: bytes or an end have arrived, or connecting has ended. */
+  bool HasUnreportedEvent() const;
 
 private:
   explicit tcp_stream(event_loop& aLoop);
@@ -66,6 +69,7 @@
 
   stream_handler* mHandler = nullptr;
   bool mResetOnClose = false;
+  bool mConnecting = false;
   event_loop& mLoop;
   uv_tcp_t* mHandle;
 };
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -6,6 +6,12 @@
 
 #include "gateway/relay_client_base.h"
 
+#include <array>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
 namespace monsooncroft::gateway {
 namespace {
 
@@ -50,6 +56,7 @@
           aExchange->Respond({ 200, {}, "direct" });
         },
         now);
+      std::this_thread::sleep_for(mTest.mBusyAfterSend);
     }
 
   private:
@@ -89,6 +96,9 @@
 
   std::vector<serving::root_address> mAddresses;
   std::optional<bool> mFallback; ///< Whether the query may have run.
+  /** Time for which the instance does nothing else after it has started to hand
+   * a query over. */
+  milliseconds mBusyAfterSend{ 0 };
   relay_client mClient;
   handler mHandler;
   uv_http_server mServer;
@@ -138,6 +148,95 @@
   EXPECT_FALSE(mFallback);
 }
 
+/** Confirms and answers one query in a thread of its own, while the instance's
+ * loop is busy. */
+class prompt_root
+{
+public:
+  prompt_root()
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    EXPECT_EQ(::bind(mListener, generic, length), 0);
+    EXPECT_EQ(::listen(mListener, 8), 0);
+    EXPECT_EQ(::getsockname(mListener, generic, &length), 0);
+    mPort = ntohs(address.sin_port);
+    mThread = std::thread([this] { Serve(); });
+  }
+  ~prompt_root()
+  {
+    ::shutdown(mListener, SHUT_RDWR); // Ends accept().
+    mThread.join();
+    ::close(mListener);
+  }
+  prompt_root(const prompt_root&) = delete;
+  prompt_root& operator=(const prompt_root&) = delete;
+  prompt_root(prompt_root&&) = delete;
+  prompt_root& operator=(prompt_root&&) = delete;
+
+  model::endpoint Address() const { return { "127.0.0.1", mPort }; }
+
+private:
+  void Serve() const
+  {
+    const int connection = ::accept(mListener, nullptr, nullptr);
+    std::string request;
+    std::array<char, 4'096> buffer{};
+    while (connection >= 0 && request.find("\r\n\r\n") == std::string::npos) {
+      const auto count = ::recv(connection, buffer.data(), buffer.size(), 0);
+      if (count <= 0) {
+        break;
+      }
+      request.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+    const std::string answer = kConfirmation + Result(200, "");
+    std::this_thread::sleep_for(milliseconds(5)); // A round trip.
+    ::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+    ::close(connection);
+  }
+
+  int mListener = ::socket(AF_INET, SOCK_STREAM, 0);
+  std::uint16_t mPort = 0;
+  std::thread mThread;
+};
+
+/** A receiver that decoded a large configuration did not read the confirmation
+ * in time: its timers ran several times in a row. It sent the query to another
+ * root, although the first had answered, so that the query ran on more leaves
+ * of a shard than its route allows. */
+TEST_F(relay_test, AConfirmationCountsThatArrivesWhileTheInstanceIsBusy)
+{
+  const prompt_root root;
+  mAddresses.push_back({ "prompt", root.Address(), 1, true });
+  mClient.SetRoots(mAddresses);
+  loop_timer third(mLoop, [] {});
+  loop_timer second(mLoop, [&] {
+    std::this_thread::sleep_for(milliseconds(4));
+    third.Start(milliseconds(0));
+  });
+  loop_timer first(mLoop, [&] {
+    std::this_thread::sleep_for(milliseconds(60));
+    second.Start(milliseconds(0));
+  });
+  first.Start(milliseconds(4));
+  EXPECT_EQ(SendRequest("/all/x", "r").mBody, "ok");
+  EXPECT_FALSE(mFallback);
+}
+
+/** The same, with a connection that is established meanwhile. */
+TEST_F(relay_test, AConnectionCountsThatIsEstablishedWhileTheInstanceIsBusy)
+{
+  const prompt_root root;
+  mAddresses.push_back({ "prompt", root.Address(), 1, true });
+  mClient.SetRoots(mAddresses);
+  mBusyAfterSend = milliseconds(60);
+  EXPECT_EQ(SendRequest("/all/x", "r").mBody, "ok");
+  EXPECT_FALSE(mFallback);
+}
+
 TEST_F(relay_test, ARootThatRefusesConnectionsHasNotRunTheQuery)
 {
   AddRoot(Answering("")).Stop();
