A refusal without a request id answers no second request that must not run twice

Cause: an answer that says "not run" is accepted without an id, whichever request it belongs to.

Change: a connection on which a leaf has refused a request without naming it carries no request any more that must not run twice. Such refusals are accepted as before on other connections, and for requests that may be repeated, where a copy costs an attempt at most: closing the connection at each refusal would cost an overloaded leaf a slot.

Failed before: second_copy_test.RefusalWithoutAnIdDoesNotAnswerAnotherRequest.

--- a/src/gateway/leaf_attempt_type.h
+++ b/src/gateway/leaf_attempt_type.h
@@ -61,6 +61,7 @@
   std::string mBody;
   std::string mRequestId;
   bool mNoBodyExpected = false; ///< The method is HEAD.
+  bool mRunOnce = false;        ///< It must not run twice.
   /** The same whenever the same query is sent. */
   once::content_hash mContentHash;
 };
--- a/src/gateway/leaf_connection.cpp
+++ b/src/gateway/leaf_connection.cpp
@@ -87,10 +87,13 @@
 }
 
 bool
-leaf_connection::HasCarried(
+leaf_connection::MayCarry(
   const std::shared_ptr<const leaf_request>& aRequest) const
 {
-  return std::any_of(
+  if (mRefusedWithoutId && aRequest->mRunOnce) {
+    return false;
+  }
+  return std::none_of(
     mCarried.begin(), mCarried.end(), [&](const auto& aCarried) {
       return aCarried.lock() == aRequest;
     });
@@ -194,6 +197,7 @@
   result.mEnd = attempt_end::Answered;
   if (misdirected || answer.Find(mHeaderNames.mNotRun) != nullptr) {
     result.mEnd = attempt_end::NotRun;
+    mRefusedWithoutId = mRefusedWithoutId || id == nullptr;
     result.mReason = misdirected ? "another leaf" : "refused by the leaf";
   } else if (id == nullptr) {
     result.mEnd = attempt_end::OutcomeUnknown;
--- a/src/gateway/leaf_connection_base.h
+++ b/src/gateway/leaf_connection_base.h
@@ -41,10 +41,11 @@
   /** Whether a request can be sent now. */
   bool Usable(model::instant aNow) const;
   bool Busy() const { return mState == state::Busy; }
-  /** Whether the request was sent on this connection before. It must not be
-   * sent here again: a second copy of the first answer has the same request id,
-   * and would be taken for the answer to the second send. */
-  bool HasCarried(const std::shared_ptr<const leaf_request>& aRequest) const;
+  /** Whether a second copy of an earlier answer could not be taken for the
+   * answer to this request. It could if the request was sent here before, since
+   * both sends have one id, and if the leaf has refused a request without
+   * naming it. The latter does no harm to a request that may be repeated. */
+  bool MayCarry(const std::shared_ptr<const leaf_request>& aRequest) const;
   /** Time since the last request ended; 0 if the connection is not idle. */
   model::duration IdleTime(model::instant aNow) const
   {
@@ -89,6 +90,7 @@
   int mInterimAnswers = 0;     ///< Read during the current request.
   bool mReceivedBytes = false; ///< The leaf has sent bytes on this connection.
   bool mNoticesRead = false;   ///< Of the answer that is being read.
+  bool mRefusedWithoutId = false; ///< The leaf has refused an unnamed request.
 };
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/leaf_endpoint.cpp
+++ b/src/gateway/leaf_endpoint.cpp
@@ -114,7 +114,7 @@
   }
   const auto next =
     std::find_if(mQueue.begin(), mQueue.end(), [&](const auto& aQueued) {
-      return !aConnection.HasCarried(aQueued->mRequest);
+      return aConnection.MayCarry(aQueued->mRequest);
     });
   if (next == mQueue.end()) {
     return;
@@ -174,7 +174,8 @@
                  mConnections.end(),
                  [&](const auto& aOwned) { return aOwned->Usable(aNow); });
   if (usable != mConnections.end()) {
-    (*usable)->Close(attempt_end::NotSent, "carried the waiting request");
+    (*usable)->Close(attempt_end::NotSent,
+                     "must not carry the waiting request");
   }
 }
 
--- a/src/gateway/leaf_endpoint_base.h
+++ b/src/gateway/leaf_endpoint_base.h
@@ -150,8 +150,8 @@
   void ForEachConnection(
     const std::function<void(leaf_connection&)>& aFunction);
   void SendNextQueued(leaf_connection& aConnection, model::instant aNow);
-  /** Closes an idle connection that has carried all queued requests, if there
-   * is one, so that another one may be opened. */
+  /** Closes an idle connection, which must not carry any queued request, so
+   * that another one may be opened. */
   void CloseOneUsable(model::instant aNow);
   void DropExpired(model::instant aNow);
   void CloseIdle(model::instant aNow);
--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -60,8 +60,10 @@
 query_execution::Start()
 {
   const model::instant now = event_loop::Now();
-  mLeafRequest = MakeLeafRequest(
-    mExchange->Request(), mContext.mHeaderNames, mPlan.mRequestId);
+  mLeafRequest = MakeLeafRequest(mExchange->Request(),
+                                 mContext.mHeaderNames,
+                                 mPlan.mRequestId,
+                                 mPlan.mRoute->mRepeatability);
   const auto self = shared_from_this();
   // Weak: attempts own the execution, the caller's connection does not.
   mExchange->OnCallerLeft([weak = weak_from_this()] {
--- a/src/gateway/relay_client.cpp
+++ b/src/gateway/relay_client.cpp
@@ -51,8 +51,10 @@
 
   void Start(model::instant aNow)
   {
-    mRequest = MakeLeafRequest(
-      mQuery.mExchange->Request(), mClient.mHeaderNames, mQuery.mRequestId);
+    mRequest = MakeLeafRequest(mQuery.mExchange->Request(),
+                               mClient.mHeaderNames,
+                               mQuery.mRequestId,
+                               serving::repeatability::Idempotent);
     mQuery.mExchange->OnCallerLeft([weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
         self->OnCallerLeft();
--- a/src/gateway/request_head.cpp
+++ b/src/gateway/request_head.cpp
@@ -71,10 +71,12 @@
 std::shared_ptr<const leaf_request>
 MakeLeafRequest(const http_message& aRequest,
                 const header_names& aHeaderNames,
-                const std::string& aRequestId)
+                const std::string& aRequestId,
+                serving::repeatability aRepeatability)
 {
   auto text = std::make_shared<leaf_request>();
   text->mRequestId = aRequestId;
+  text->mRunOnce = aRepeatability == serving::repeatability::RunOnce;
   text->mContentHash = HashRequestContent(aRequest);
   text->mBody = aRequest.mBody;
   text->mNoBodyExpected = aRequest.mMethod == "HEAD";
--- a/src/gateway/request_head_func.h
+++ b/src/gateway/request_head_func.h
@@ -7,6 +7,7 @@
 
 #include "gateway/http_response_type.h"
 #include "gateway/leaf_attempt_type.h"
+#include "serving/route_type.h"
 
 #include <chrono>
 #include <memory>
@@ -24,7 +25,8 @@
 std::shared_ptr<const leaf_request>
 MakeLeafRequest(const http_message& aRequest,
                 const header_names& aHeaderNames,
-                const std::string& aRequestId);
+                const std::string& aRequestId,
+                serving::repeatability aRepeatability);
 
 /** Hashes a request's content: the same for all callers and repetitions. */
 once::content_hash
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -162,9 +162,10 @@
         mCopies.erase(copy);
       }
       if (++mSends[id] == 1 && id.back() % 2 == 0) {
-        const std::string refusal = "HTTP/1.1 503 Full\r\nX-Id: " + id +
-                                    "\r\nX-Not: 1\r\nContent-Length: "
-                                    "0\r\n\r\n";
+        const std::string refusal =
+          "HTTP/1.1 503 Full\r\n" +
+          (mRefusalsNameRequest ? "X-Id: " + id + "\r\n" : std::string()) +
+          "X-Not: 1\r\nContent-Length: 0\r\n\r\n";
         aConnection.Write(refusal);
         mCopies[&aConnection] = refusal;
         return;
@@ -192,6 +193,7 @@
     }
   }
 
+  bool mRefusalsNameRequest = true;
   std::map<fake_leaf::connection*, std::string> mCopies;
   std::map<std::string, int> mSends; ///< By request id, like mRuns.
   std::map<std::string, int> mRuns;
@@ -240,6 +242,15 @@
   }
 }
 
+/** A copy of a refusal without an id was taken for the answer to the request of
+ * another caller, which ran twice. */
+TEST_F(second_copy_test, RefusalWithoutAnIdDoesNotAnswerAnotherRequest)
+{
+  mRefusalsNameRequest = false;
+  StartWithOneLeaf(2, 8);
+  ExpectEachRequestToRunOnce();
+}
+
 /** A leaf that closed an idle connection before its first use was taken for a
  * leaf at its connection limit and got no connection for a second; this
  * happened at all leaves at the same time. */
