--- a/test/adapter/standin_store.cpp
+++ b/test/adapter/standin_store.cpp
@@ -27,6 +27,23 @@
   return out;
 }
 
+/** Decodes a text of a query; "+" stands for a space, as in forms. */
+std::string
+DecodeQueryText(const std::string& aText)
+{
+  std::string out;
+  for (std::size_t index = 0; index < aText.size(); ++index) {
+    if (aText[index] == '%' && index + 2 < aText.size()) {
+      out.push_back(
+        static_cast<char>(std::stoi(aText.substr(index + 1, 2), nullptr, 16)));
+      index += 2;
+    } else {
+      out.push_back(aText[index] == '+' ? ' ' : aText[index]);
+    }
+  }
+  return out;
+}
+
 /** Value of a parameter in a target's query; empty if there is none. */
 std::string
 Parameter(const std::string& aTarget, const std::string& aName)
@@ -95,7 +112,9 @@
   if (path == "/monsooncroft/kv-key") {
     AnswerKey(aConnection, Parameter(target, "key"));
   } else if (path == "/monsooncroft/kv-range") {
-    AnswerRange(aConnection, Parameter(target, "prefix"));
+    AnswerRange(aConnection,
+                Parameter(target, "prefix"),
+                DecodeQueryText(Parameter(target, "after")));
   } else if (path == "/monsooncroft/kv-watch") {
     const watch request{ &aConnection,
                          Parameter(target, "prefix"),
@@ -141,16 +160,23 @@
 
 void
 standin_store::AnswerRange(gateway::fake_leaf::connection& aConnection,
-                           const std::string& aPrefix)
+                           const std::string& aPrefix,
+                           const std::string& aAfter)
 {
   json items = json::array();
+  bool hasMore = false;
   for (const auto& [key, item] : mContent.mItems) {
-    if (key.starts_with(aPrefix)) {
-      items.push_back(Item(key));
+    if (!key.starts_with(aPrefix) || key <= aAfter) {
+      continue;
+    }
+    hasMore = items.size() == mPageItems;
+    if (hasMore) {
+      break;
     }
+    items.push_back(Item(key));
   }
   const json body{ { "items", items },
-                   { "has_more", false },
+                   { "has_more", hasMore },
                    { "store_revision", mContent.mRevision } };
   Write(aConnection, 200, body.dump());
 }
--- a/test/adapter/standin_store.h
+++ b/test/adapter/standin_store.h
@@ -46,6 +46,8 @@
   /** Never answers watches from now on, as on connections that have fallen
    * silent. */
   void SilenceWatches() { mWatchesAreSilent = true; }
+  /** Sets the number of items in a page of a range. */
+  void SetPageItems(std::size_t aItems) { mPageItems = aItems; }
   std::uint64_t Revision() const { return mContent.mRevision; }
   int Calls() const { return mServer.mRequests; }
 
@@ -62,7 +64,8 @@
   void AnswerKey(gateway::fake_leaf::connection& aConnection,
                  const std::string& aKey);
   void AnswerRange(gateway::fake_leaf::connection& aConnection,
-                   const std::string& aPrefix);
+                   const std::string& aPrefix,
+                   const std::string& aAfter);
   /** @return Whether there are changes to return. */
   bool AnswerWatch(const watch& aWatch);
   void AnswerWatches();
@@ -77,6 +80,7 @@
   std::map<std::string, std::uint64_t> mLastChanges;
   std::vector<watch> mWatches;
   bool mWatchesAreSilent = false;
+  std::size_t mPageItems = 500;
   gateway::fake_leaf mServer;
 };
 
