--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -203,10 +203,10 @@
   std::thread mThread;
 };
 
-/** A receiver that decoded a large configuration did not read the confirmation
- * in time: its timers ran several times in a row. It sent the query to another
- * root, although the first had answered, so that the query ran on more leaves
- * of a shard than its route allows. */
+/** The timers of a busy receiver ran late, several in a row without a read in
+ * between. It sent the query to another root, although the first had answered,
+ * so that the query could run on more leaves of a shard than its route allows.
+ */
 TEST_F(relay_test, AConfirmationCountsThatArrivesWhileTheInstanceIsBusy)
 {
   const prompt_root root;
