--- a/src/gateway/header_names_type.h
+++ b/src/gateway/header_names_type.h
@@ -27,6 +27,9 @@
   std::string mRateLimit;
   /** "1" in all answers of a leaf that is leaving. */
   std::string mLeaving;
+  std::string mWorkspace; ///< Name of the workspace, for leaves.
+  std::string mLeafLoad;  ///< Load that a leaf reports in its answers.
+  std::string mColdMs;    ///< Remaining cold time in a leaf's health answers.
 
   bool operator==(const header_names&) const = default;
 };
--- a/src/gateway/instance_settings_type.h
+++ b/src/gateway/instance_settings_type.h
@@ -16,6 +16,25 @@
 
 namespace monsooncroft::gateway {
 
+/** Tolerance of workspaces' quotas. */
+struct quota_settings
+{
+  std::chrono::milliseconds mWindow{ 5'000 };
+  double mOverage = 0.1; ///< Fraction above the quota that is tolerated.
+  double mSlack = 0;     ///< Requests per window that are tolerated besides.
+
+  bool operator==(const quota_settings&) const = default;
+};
+
+/** Tolerance of cold leaves. */
+struct cold_settings
+{
+  double mOverage = 1; ///< Factor of the rate of a cold leaf.
+  double mSlack = 0;   ///< Requests per second that are tolerated besides.
+
+  bool operator==(const cold_settings&) const = default;
+};
+
 /** Settings of one instance. */
 struct instance_settings
 {
@@ -39,6 +58,10 @@
   serving::retry_budget_settings mRetryBudget;
   query_settings mQuery;
   control_settings mControl;
+  std::size_t mMemoryBytes = 0;    ///< Of the machine; 0: unknown.
+  std::size_t mMaxDescriptors = 0; ///< Of the process; 0: unknown.
+  quota_settings mQuota;
+  cold_settings mCold;
   /** Time from the stop signal to the forced end of the process. */
   std::chrono::milliseconds mStopBound{ 6'000 };
 
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -4,6 +4,8 @@
  */
 #include "serving/fleet_codec_func.h"
 
+#include "serving/fleet_extensions.h"
+
 #include <nlohmann/json.hpp>
 
 namespace monsooncroft::serving {
@@ -289,6 +291,9 @@
       { departure.at(0).get<std::string>(),
         departure.at(1).get<std::uint64_t>() });
   }
+  if (aArray.size() > 13) {
+    DecodeExtensions(aArray.at(13), aMessage);
+  }
 }
 
 std::string
@@ -325,7 +330,9 @@
                              ToArrays(aMessage.mLeafObservations),
                              aMessage.mUnreachableDataCentres,
                              ToArray(aMessage.mHeartbeats) });
-  const bool hasDepartures = !aMessage.mLeafDepartures.empty();
+  json extensions = EncodeExtensions(aMessage);
+  const bool hasDepartures =
+    !aMessage.mLeafDepartures.empty() || !extensions.is_null();
   if (!aMessage.mLeafLimits.empty() || !aMessage.mPermitRequests.empty() ||
       !aMessage.mPermitReplies.empty() || hasDepartures) {
     array.push_back(ToArrays(aMessage.mLeafLimits));
@@ -335,6 +342,9 @@
   if (hasDepartures) {
     array.push_back(ToArrays(aMessage.mLeafDepartures));
   }
+  if (!extensions.is_null()) {
+    array.push_back(std::move(extensions));
+  }
   return Pack(array);
 }
 
--- /dev/null
+++ b/src/serving/fleet_extensions.cpp
@@ -0,0 +1,44 @@
+/**
+ * @file fleet_extensions.cpp
+ * Named parts of the messages between instances.
+ */
+#include "serving/fleet_extensions.h"
+
+#include "serving/fleet_type.h"
+
+#include <nlohmann/json.hpp>
+
+namespace monsooncroft::serving {
+
+const std::vector<fleet_extension>&
+FleetExtensions()
+{
+  static const std::vector<fleet_extension> kExtensions{};
+  return kExtensions;
+}
+
+nlohmann::json
+EncodeExtensions(const fleet_message& aMessage)
+{
+  nlohmann::json parts;
+  for (const fleet_extension& extension : FleetExtensions()) {
+    nlohmann::json part = extension.mEncode(aMessage);
+    if (!part.is_null()) {
+      parts[extension.mName] = std::move(part);
+    }
+  }
+  return parts;
+}
+
+void
+DecodeExtensions(const nlohmann::json& aParts, fleet_message& aMessage)
+{
+  for (const fleet_extension& extension : FleetExtensions()) {
+    const auto part = aParts.find(extension.mName);
+    if (part != aParts.end()) {
+      extension.mDecode(*part, aMessage);
+    }
+  }
+}
+
+} // namespace monsooncroft::serving
--- a/src/serving/route_type.h
+++ b/src/serving/route_type.h
@@ -44,7 +44,9 @@
   std::vector<weighted_service> mTargets; ///< Empty for a fan-out.
   std::vector<std::string> mShards;       ///< Services of a fan-out.
   std::size_t mTopRecords = 0;            ///< Records of a merged answer.
-  double mMinSuccessShare = 1; ///< Fraction of shards that an answer needs.
+  double mMinSuccessShare = 1;     ///< Fraction of shards that an answer needs.
+  bool mPublic = true;             ///< Requests need no API key.
+  std::vector<std::string> mHomes; ///< Regions; empty: any region.
 
   bool IsFanOut() const { return !mShards.empty(); }
   bool operator==(const route&) const = default;
@@ -54,6 +56,11 @@
 struct service_limits
 {
   int mMaxConnections = 1; ///< One leaf accepts these from all instances.
+  /** Requests per second that a cold leaf accepts from all instances; 0: no
+   * limit. */
+  double mColdPerSecond = 0;
+  /** Time for which a leaf that starts during traffic is cold. */
+  std::chrono::milliseconds mColdPeriod{ 0 };
 
   bool operator==(const service_limits&) const = default;
 };
--- a/src/serving/routing_config_base.h
+++ b/src/serving/routing_config_base.h
@@ -6,6 +6,7 @@
 #define MONSOONCROFT_SERVING_ROUTING_CONFIG_BASE_H
 
 #include "serving/route_type.h"
+#include "serving/workspace_type.h"
 
 #include <algorithm>
 #include <map>
@@ -26,6 +27,8 @@
     std::vector<route> mRoutes;
     std::map<std::string, service_limits> mServices;
     caller_limits mLimits;
+    /** Without any, requests need no API key. */
+    std::vector<workspace> mWorkspaces;
 
     bool operator==(const content&) const = default;
   };
