Answers that name no request count for no later send on their connection

Callers could be told that a request had not run although it ran, and a request that must not run twice could run twice.

Cause: two answers without a request id were believed too much.

Change: answer_matcher, without I/O, decides whose answer it is and which request a connection may carry; leaf_connection uses it. From the second unnamed refusal on, the outcome is unknown; after an unnamed answer the connection is closed.

--- a/src/gateway/leaf_connection.cpp
+++ b/src/gateway/leaf_connection.cpp
@@ -30,10 +30,6 @@
 constexpr std::chrono::milliseconds kIdleMargin{ 400 };
 /** Lowest status that counts as a failure. */
 constexpr int kFirstServerErrorStatus = 500;
-/** Answers to other requests that are skipped before a connection is closed. */
-constexpr int kMaxSkippedAnswers = 4;
-/** Interim answers (1xx) that are skipped before a connection is closed. */
-constexpr int kMaxInterimAnswers = 16;
 /** Largest accepted answer body; above the largest that leaves send. */
 constexpr std::size_t kMaxAnswerBodyBytes = 4U << 20U;
 constexpr std::size_t kMaxAnswerHeadBytes = 65'536;
@@ -86,33 +82,16 @@
          (!mIdleTimeout || aNow - mStateSince < *mIdleTimeout - kIdleMargin);
 }
 
-bool
-leaf_connection::MayCarry(
-  const std::shared_ptr<const leaf_request>& aRequest) const
-{
-  if (mRefusedWithoutId && aRequest->mRunOnce) {
-    return false;
-  }
-  return std::none_of(
-    mCarried.begin(), mCarried.end(), [&](const auto& aCarried) {
-      return aCarried.lock() == aRequest;
-    });
-}
-
 void
 leaf_connection::Send(const leaf_attempt_ptr& aAttempt, model::instant aNow)
 {
   mAttempt = aAttempt;
-  std::erase_if(mCarried,
-                [](const auto& aCarried) { return aCarried.expired(); });
-  mCarried.push_back(aAttempt->mRequest);
+  mMatcher.OnSend(aAttempt->mRequest);
   // Not aNow: sending many requests in one iteration takes time on a slow
   // machine.
   mAttempt->mSentAt = event_loop::Now();
   mState = state::Busy;
   mStateSince = aNow;
-  mSkippedAnswers = 0;
-  mInterimAnswers = 0;
   mReader.ExpectNoBody(aAttempt->mRequest->mNoBodyExpected);
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
     aAttempt->mDeadline - aNow);
@@ -127,6 +106,35 @@
   mStream->Write(std::move(bytes));
 }
 
+attempt_result
+leaf_connection::Judge(answer_match aMatch, const http_message& aAnswer)
+{
+  attempt_result result;
+  switch (aMatch) {
+    case answer_match::Refused:
+      result.mEnd = attempt_end::NotRun;
+      result.mReason =
+        aAnswer.mStatus == 421 ? "another leaf" : "refused by the leaf";
+      break;
+    case answer_match::AmbiguousRefusal:
+      result.mEnd = attempt_end::OutcomeUnknown;
+      result.mReason = "refusal without the request's id";
+      break;
+    case answer_match::Answered:
+      result.mEnd = attempt_end::Answered;
+      if (aAnswer.Find("Content-Encoding") != nullptr) {
+        result.mEnd = attempt_end::OutcomeUnknown;
+        result.mReason = "encoded answer";
+      }
+      break;
+    default:
+      result.mEnd = attempt_end::OutcomeUnknown;
+      result.mReason = "answer without the request's id";
+      break;
+  }
+  return result;
+}
+
 void
 leaf_connection::OnBytes(std::string_view aBytes)
 {
@@ -153,59 +161,43 @@
       return;
     }
     const bool hasMoreBytes = !aBytes.empty();
-    const int skippedBefore = mSkippedAnswers;
-    const int status = mReader.Message().mStatus;
-    if (hasMoreBytes && status / 100 != 1) {
+    if (hasMoreBytes && mReader.Message().mStatus / 100 != 1) {
       mReader.Message().mKeepAlive = false;
     }
-    OnMessage();
-    if (mState == state::Busy && skippedBefore == mSkippedAnswers &&
-        status / 100 != 1) {
+    if (OnMessage()) {
       return;
     }
   }
 }
 
-void
+bool
 leaf_connection::OnMessage()
 {
   http_message answer = std::move(mReader.Message());
   mReader.NextMessage();
   mNoticesRead = false;
-  if (answer.mStatus / 100 == 1) {
-    if (++mInterimAnswers > kMaxInterimAnswers) {
-      Close(attempt_end::OutcomeUnknown, "interim answers without end");
-    }
-    return;
-  }
-  const std::string* id = answer.Find(mHeaderNames.mRequestId);
-  if (id != nullptr && *id != mAttempt->mRequest->mRequestId) {
-    // A late answer to an earlier request; the answer to this one may follow.
-    if (++mSkippedAnswers > kMaxSkippedAnswers) {
-      Close(attempt_end::OutcomeUnknown, "answers to other requests");
-    } else {
+  const answer_match match =
+    mMatcher.OnAnswer({ answer.mStatus,
+                        answer.Find(mHeaderNames.mRequestId),
+                        answer.Find(mHeaderNames.mNotRun) != nullptr });
+  switch (match) {
+    case answer_match::Interim:
+      return false;
+    case answer_match::Foreign:
       mReader.ExpectNoBody(mAttempt->mRequest->mNoBodyExpected);
-    }
-    return;
+      return false;
+    case answer_match::Excess:
+      Close(attempt_end::OutcomeUnknown, "answers without end");
+      return false;
+    default:
+      break;
   }
   ReadKeepAliveTimeout(answer);
   ReadRateLimit(answer);
   const bool reusable =
-    answer.mKeepAlive && mSkippedAnswers == 0 && mStream->PendingBytes() == 0;
+    answer.mKeepAlive && mMatcher.Reusable() && mStream->PendingBytes() == 0;
   const bool misdirected = answer.mStatus == 421;
-  attempt_result result;
-  result.mEnd = attempt_end::Answered;
-  if (misdirected || answer.Find(mHeaderNames.mNotRun) != nullptr) {
-    result.mEnd = attempt_end::NotRun;
-    mRefusedWithoutId = mRefusedWithoutId || id == nullptr;
-    result.mReason = misdirected ? "another leaf" : "refused by the leaf";
-  } else if (id == nullptr) {
-    result.mEnd = attempt_end::OutcomeUnknown;
-    result.mReason = "answer without the request's id";
-  } else if (answer.Find("Content-Encoding") != nullptr) {
-    result.mEnd = attempt_end::OutcomeUnknown;
-    result.mReason = "encoded answer";
-  }
+  attempt_result result = Judge(match, answer);
   result.mArrivedAt = std::max(mLoop.ArrivedAt(), *mAttempt->mSentAt);
   const bool succeeded = result.mEnd == attempt_end::Answered &&
                          answer.mStatus < kFirstServerErrorStatus;
@@ -223,6 +215,7 @@
   }
   attempt->End(std::move(result));
   mLeaf.Dispatch(event_loop::Now());
+  return true;
 }
 
 void
--- a/src/gateway/leaf_connection_base.h
+++ b/src/gateway/leaf_connection_base.h
@@ -5,12 +5,12 @@
 #ifndef MONSOONCROFT_GATEWAY_LEAF_CONNECTION_BASE_H
 #define MONSOONCROFT_GATEWAY_LEAF_CONNECTION_BASE_H
 
+#include "gateway/answer_matcher_base.h"
 #include "gateway/http_reader_base.h"
 #include "gateway/leaf_attempt_type.h"
 #include "gateway/stream_handler_base.h"
 
 #include <memory>
-#include <vector>
 
 namespace monsooncroft::model {
 struct endpoint;
@@ -41,11 +41,11 @@
   /** Whether a request can be sent now. */
   bool Usable(model::instant aNow) const;
   bool Busy() const { return mState == state::Busy; }
-  /** Whether a second copy of an earlier answer could not be taken for the
-   * answer to this request. It could if the request was sent here before, since
-   * both sends have one id, and if the leaf has refused a request without
-   * naming it. The latter does no harm to a request that may be repeated. */
-  bool MayCarry(const std::shared_ptr<const leaf_request>& aRequest) const;
+  /** See answer_matcher::MayCarry(). */
+  bool MayCarry(const std::shared_ptr<const leaf_request>& aRequest) const
+  {
+    return mMatcher.MayCarry(aRequest);
+  }
   /** Time since the last request ended; 0 if the connection is not idle. */
   model::duration IdleTime(model::instant aNow) const
   {
@@ -65,7 +65,10 @@
   };
 
   void ParseAnswers(std::string_view aBytes);
-  void OnMessage();
+  /** @return Whether it ended the request; the answer may follow otherwise. */
+  bool OnMessage();
+  /** What an answer that ends the request means for the attempt. */
+  static attempt_result Judge(answer_match aMatch, const http_message& aAnswer);
   void ReadKeepAliveTimeout(const http_message& aAnswer);
   void ReadRateLimit(const http_message& aAnswer);
   /** Reads what the leaf says of itself as soon as an answer's head is
@@ -79,18 +82,13 @@
   std::unique_ptr<tcp_stream> mStream;
   http_reader mReader;
   leaf_attempt_ptr mAttempt;
-  /** Requests in progress that were sent on this connection. */
-  std::vector<std::weak_ptr<const leaf_request>> mCarried;
+  answer_matcher mMatcher;
   model::instant mStateSince; ///< Start of the current state.
   model::instant mConnectedAt;
   /** Idle time after which the leaf closes, from its Keep-Alive field. */
   std::optional<model::duration> mIdleTimeout;
-  /** Answers to other requests read during the current one. */
-  int mSkippedAnswers = 0;
-  int mInterimAnswers = 0;     ///< Read during the current request.
   bool mReceivedBytes = false; ///< The leaf has sent bytes on this connection.
   bool mNoticesRead = false;   ///< Of the answer that is being read.
-  bool mRefusedWithoutId = false; ///< The leaf has refused an unnamed request.
 };
 
 } // namespace monsooncroft::gateway
