A request that lacks shards after its target latency is hedged until its deadline

Cause: a hedge went out only if it was expected by the time of a partial answer, or within the usual latency. Once that time had passed, cold or suspected replicas never qualified, so that the shards of leaves that did not respond were not tried again.

Change: HedgeIsUseful, without I/O: after the time of a partial answer a hedge is useful if it is expected before the deadline. Budget and attempts of the route bind as before.

--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -11,6 +11,7 @@
 #include "gateway/query_settings_type.h"
 #include "gateway/request_head_func.h"
 #include "model/time_func.h"
+#include "serving/hedge_rule_func.h"
 #include "serving/retry_budget_base.h"
 #include "serving/shard_omission_func.h"
 
@@ -517,9 +518,11 @@
   }
   leaf_endpoint* leaf = ChooseLeaf(aShardIndex, true, aNow);
   if (leaf == nullptr ||
-      aNow + leaf->Load().ExpectedLatency(mPlan.mLatency->Mean(), aNow) >
-        std::max(mRequirements.mPartialAnswerAt,
-                 aNow + mPlan.mLatency->HighQuantile()) ||
+      !serving::HedgeIsUseful(
+        mRequirements,
+        leaf->Load().ExpectedLatency(mPlan.mLatency->Mean(), aNow),
+        mPlan.mLatency->HighQuantile(),
+        aNow) ||
       !mContext.mRetryBudget.TryAcquire(mPlan.mServices[aShardIndex],
                                         serving::retry_budget::purpose::Hedge,
                                         aNow)) {
