A lost answer counts as an error of its leaf

Cause: only answers counted as errors. A connection that was reset with a request under way changed nothing in the choice of replicas, since the next connection was established at once.

Change: an attempt whose outcome is unknown, and that was not abandoned, counts as an error of the leaf, here and at the peers that are told of errors.

Measured: instance_test.LeafThatLosesAnswersGetsFewRequests: 38 to 40 of 40 requests reached the losing leaf before (8 of 8 runs failed), at most 10 now (8 of 8 passed).

--- a/src/gateway/leaf_endpoint.cpp
+++ b/src/gateway/leaf_endpoint.cpp
@@ -367,6 +367,10 @@
   } else {
     excess = mLoad.OnAttemptDropped(
       aAttempt.mQueuedAt, work, aAttempt.mRouteMeanLatency, endedAt);
+    if (end == attempt_end::OutcomeUnknown && !aAttempt.mAbandonedAt) {
+      mLoad.OnLostAnswer(endedAt);
+      mObserver.OnLeafError(*this);
+    }
   }
   const auto threshold =
     std::max<model::duration>(aAttempt.mRouteMeanLatency, kMinReportedExcess);
--- a/src/serving/leaf_health_base.h
+++ b/src/serving/leaf_health_base.h
@@ -53,6 +53,8 @@
   void OnConnected(model::duration aRoundTrip, model::instant aNow);
   /** The leaf rejected the attempt or answered with an error. */
   void OnError(model::instant aQueuedAt, model::instant aNow);
+  /** The leaf got a request whose answer was lost, such as by a reset. */
+  void OnLostAnswer(model::instant aNow) { RecordError(aNow); }
   /** A peer received an error answer from the leaf. */
   void OnPeerError(model::instant aNow) { RecordError(aNow); }
   /** A peer received an answer with this excess latency, or reports that the
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -91,6 +91,39 @@
   EXPECT_EQ(leaf.mRequests + other.mRequests, 1);
 }
 
+/** A leaf that runs requests and loses their answers looked as good as its
+ * replicas, since its connections are established again at once. */
+TEST_F(instance_test, LeafThatLosesAnswersGetsFewRequests)
+{
+  constexpr int kRequests = 40;
+  const fake_leaf& losing = AddLeaf(
+    "plain", [received = 0](auto& aConnection, const auto& aRequest) mutable {
+      if (++received % 2 == 0) {
+        aConnection.Reset();
+      } else {
+        aConnection.Write(OkAnswer(aRequest, "sig", "body"));
+      }
+    });
+  // Slower, so that it is chosen only because of the lost answers.
+  std::vector<std::unique_ptr<loop_timer>> delays;
+  AddLeaf("plain", [&](auto& aConnection, const auto& aRequest) {
+    delays.push_back(std::make_unique<loop_timer>(
+      mLoop, [&aConnection, answer = OkAnswer(aRequest, "sig", "body")] {
+        aConnection.Write(answer);
+      }));
+    delays.back()->Start(std::chrono::milliseconds(20));
+  });
+  AddSingleServiceRoute(serving::repeatability::Idempotent);
+  mStore.mContent.mRoutes.back().mTargetLatency = std::chrono::milliseconds(40);
+  mSettings.mQuery.mMinHedgeDelay = std::chrono::milliseconds(300); // None.
+  Start();
+  for (int request = 0; request < kRequests; ++request) {
+    EXPECT_EQ(SendRequest("/one/x", "r" + std::to_string(request)).mStatus,
+              200);
+  }
+  EXPECT_LE(losing.mRequests, kRequests / 4);
+}
+
 TEST_F(instance_test, RefusedRequestIsRetriedOnceThenReportedAsNotRun)
 {
   const auto refuse = [](auto& aConnection, const auto& aRequest) {
