--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -143,6 +143,8 @@
   void WatchConfig();
   void PullSnapshot(const serving::fleet_member& aFrom);
   bool AdoptConfig(const config_text& aText, const char* aSource);
+  /** Logs the malformed entries of the configuration in force. */
+  void LogProblems() const;
   void OnSnapshot(const std::string& aBytes, const std::string& aFrom);
   void OnDatagram(std::string_view aBytes, const model::endpoint& aFrom);
   void ApplyLeaves();
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -13,6 +13,13 @@
 
 namespace monsooncroft::gateway {
 
+namespace {
+
+/** Malformed entries of a version that are logged. */
+constexpr std::size_t kMaxLoggedProblems = 16;
+
+} // namespace
+
 void
 control_plane::UpdateConfig(model::instant aNow)
 {
@@ -166,17 +173,40 @@
   mConfigText = aText;
   mConfigWatchRevision = std::max(mConfigWatchRevision, aText.mRevision);
   mFleet.SetConfigVersion(mConfig->Version());
-  mLog.Write(ops::log_level::Info,
-             "config_in_force",
-             { { "version", static_cast<long>(mConfig->Version()) },
-               { "before", static_cast<long>(currentVersion) },
-               { "revision", ToText(aText.mRevision) },
-               { "routes", static_cast<long>(mConfig->Routes().size()) },
-               { "source", std::string(aSource) } });
+  mLog.Write(
+    ops::log_level::Info,
+    "config_in_force",
+    { { "version", static_cast<long>(mConfig->Version()) },
+      { "before", static_cast<long>(currentVersion) },
+      { "revision", ToText(aText.mRevision) },
+      { "routes", static_cast<long>(mConfig->Routes().size()) },
+      { "workspaces", static_cast<long>(mConfig->Workspaces().size()) },
+      { "source", std::string(aSource) } });
+  LogProblems();
   mHooks.mOnConfig(mConfig);
   return true;
 }
 
+void
+control_plane::LogProblems() const
+{
+  const auto& problems = mConfig->Problems();
+  if (!problems.empty()) {
+    mMetrics.Count("config_entries_malformed",
+                   static_cast<long>(problems.size()));
+  }
+  for (std::size_t index = 0;
+       index < std::min(problems.size(), kMaxLoggedProblems);
+       ++index) {
+    mLog.Write(ops::log_level::Warning,
+               "config_entry_malformed",
+               { { "version", static_cast<long>(mConfig->Version()) },
+                 { "where", problems[index].mWhere },
+                 { "what", problems[index].mWhat },
+                 { "entries", static_cast<long>(problems.size()) } });
+  }
+}
+
 std::optional<std::string>
 control_plane::MakeSnapshot(std::string_view aRequest) const
 {
--- a/src/serving/routing_config.cpp
+++ b/src/serving/routing_config.cpp
@@ -50,6 +50,7 @@
       AddShardGroup(each.mShards);
     }
   }
+  AddWorkspaces();
   SortUnique(mTargetServices);
   SortUnique(mShardServices);
   mRoutedServices = mTargetServices;
@@ -76,6 +77,25 @@
   }
 }
 
+void
+routing_config::AddWorkspaces()
+{
+  for (workspace& each : mContent.mWorkspaces) {
+    for (const std::string& key : each.mApiKeys) {
+      mKeys.Add(key, each);
+    }
+    each.mApiKeys.clear();
+    mWorkspacesByName.emplace(each.mName, &each);
+  }
+}
+
+const workspace*
+routing_config::WorkspaceNamed(const std::string& aName) const
+{
+  const auto found = mWorkspacesByName.find(aName);
+  return found == mWorkspacesByName.end() ? nullptr : found->second;
+}
+
 const std::string&
 routing_config::GroupOf(const std::string& aService) const
 {
--- a/src/serving/routing_config_base.h
+++ b/src/serving/routing_config_base.h
@@ -5,7 +5,9 @@
 #ifndef MONSOONCROFT_SERVING_ROUTING_CONFIG_BASE_H
 #define MONSOONCROFT_SERVING_ROUTING_CONFIG_BASE_H
 
+#include "serving/config_problem_type.h"
 #include "serving/route_type.h"
+#include "serving/workspace_keys_base.h"
 #include "serving/workspace_type.h"
 
 #include <algorithm>
@@ -27,8 +29,13 @@
     std::vector<route> mRoutes;
     std::map<std::string, service_limits> mServices;
     caller_limits mLimits;
-    /** Without any, requests need no API key. */
+    /** Usable entries. Create() replaces their API keys by digests. */
     std::vector<workspace> mWorkspaces;
+    /** Requests need API keys, except on public routes: the configuration lists
+     * workspaces, of which none may be usable. */
+    bool mRequiresKeys = false;
+    /** Malformed entries, which are not used. */
+    std::vector<config_problem> mProblems;
 
     bool operator==(const content&) const = default;
   };
@@ -50,6 +57,28 @@
   {
     return mContent.mServices;
   }
+  /** Whether requests need API keys, except on public routes. */
+  bool UsesWorkspaces() const
+  {
+    return mContent.mRequiresKeys || !mContent.mWorkspaces.empty();
+  }
+  /** Workspaces without their API keys. */
+  const std::vector<workspace>& Workspaces() const
+  {
+    return mContent.mWorkspaces;
+  }
+  /** @return The workspace of an API key; null for an unknown key. */
+  const workspace* FindWorkspace(std::string_view aKey) const
+  {
+    return mKeys.Find(aKey);
+  }
+  /** @return Null if there is no workspace of this name. */
+  const workspace* WorkspaceNamed(const std::string& aName) const;
+  /** Malformed entries of this version. */
+  const std::vector<config_problem>& Problems() const
+  {
+    return mContent.mProblems;
+  }
   /** Connection limit of one leaf; 1 for a service that is not listed. */
   int MaxConnections(const std::string& aService) const;
   /**
@@ -83,6 +112,7 @@
 private:
   explicit routing_config(content aContent);
   void AddShardGroup(const std::vector<std::string>& aShards);
+  void AddWorkspaces();
 
   content mContent;
   /** Routes by host, longest prefix first. */
@@ -92,6 +122,8 @@
   std::vector<std::string> mShardServices;
   /** Group of each shard, see GroupOf(). */
   std::unordered_map<std::string, std::string> mShardGroups;
+  workspace_keys mKeys;
+  std::unordered_map<std::string, const workspace*> mWorkspacesByName;
 };
 
 using routing_config_ptr = std::shared_ptr<const routing_config>;
