Callers' requests are authenticated and charged to their workspace's quota

Where the configuration has workspaces, a request on a route that is not public runs only with a known key. An unknown key gets 503 while the configuration may be out of date; otherwise the request waits for a newer one, for 250 ms and a third of the caller's time at most, and then gets 401. unknown_key_policy decides which ones wait and whether the store is read (at most once in two seconds; once in ten for keys that the newest configuration did not contain before, so that callers that go on with a withdrawn key cause few calls). A read that shows that there is no newer configuration ends the wait. Without a key, or with several Authorization fields, 401 comes at once.

Each request of a workspace with a limit is charged once through workspace_admission before it runs; over the quota it gets 429 with the time to come back. While the decision is awaited the caller may leave, the deadline may pass, and the configuration may change: the request is then dispatched again with the new one, and charged again only if its key has moved to another workspace. Requests that get 400, 401, 404 or the quarantine's 503 are not charged.

Where the configuration has workspaces, log lines have a target without its query. Counters by workspace are `workspace_requests`, `workspace_over_quota`, `workspace_refusals` (by reason); ops::metrics bounds their series.

The workspace's name does not reach leaves yet.

--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -39,6 +39,8 @@
   struct hooks
   {
     std::function<void(serving::routing_config_ptr)> mOnConfig;
+    /** The configuration in force was the store's newest at that time. */
+    std::function<void(model::instant)> mOnConfigConfirmed;
     std::function<void(const serving::leaf_directory::changes&)> mOnLeaves;
     std::function<void(const serving::leaf_suspicion&)> mOnSuspicion;
     std::function<void(const serving::leaf_observation&)> mOnObservation;
@@ -88,6 +90,9 @@
   void SetRelayPort(std::uint16_t aPort, model::instant aNow);
   const serving::routing_config_ptr& Config() const { return mConfig; }
   bool ConfigIsCurrent(model::instant aNow) const;
+  /** Reads the newest configuration from the store now.
+   * @return False if another read is in progress, or a retry is not yet due. */
+  bool ReadNewestConfig(model::instant aNow);
   /** Sends leaf observations to the roots of this data centre, which use the
    * same leaves. */
   void SendToRoots(std::vector<serving::leaf_observation> aObservations,
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -50,7 +50,9 @@
   mConfigCall.mBusy = true;
   mMetrics.Count("store_calls", { { "call", "config" } });
   mStore.ReadConfig(
-    aMayBeStale, [this](const store_result<config_text>& aResult) {
+    aMayBeStale,
+    [this, aMayBeStale, startedAt = event_loop::Now()](
+      const store_result<config_text>& aResult) {
       const auto* error = std::get_if<store_error>(&aResult);
       OnCallDone(mConfigCall,
                  "config",
@@ -64,10 +66,23 @@
         if (adopted && !isFirst) {
           SendToPeers(mFleet.PossiblyLiveMembers(event_loop::Now()), {});
         }
+        if (!aMayBeStale && mConfig && mHooks.mOnConfigConfirmed) {
+          mHooks.mOnConfigConfirmed(startedAt);
+        }
       }
     });
 }
 
+bool
+control_plane::ReadNewestConfig(model::instant aNow)
+{
+  if (mConfigCall.mBusy || aNow < mConfigCall.mNextCall) {
+    return false;
+  }
+  ReadConfig(false);
+  return true;
+}
+
 void
 control_plane::WatchConfig()
 {
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -161,6 +161,7 @@
                { "peers", mSettings.mPeerAddress.ToString() },
                { "data_centre", mSettings.mDataCentre },
                { "seeds", static_cast<long>(mSettings.mSeeds.size()) } });
+  ConnectWorkspaces();
   OnTick();
 }
 
@@ -231,6 +232,7 @@
   hooks.mSuspectedLeaves = [this] {
     return mLeaves.SuspectedLeaves(event_loop::Now());
   };
+  AddWorkspaceHooks(hooks);
   return hooks;
 }
 
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -42,6 +42,11 @@
 
   void Stop(const char* aReason); ///< Starts the graceful stop.
   void Apply(const instance_settings& aSettings);
+  /** Sets the quotas of workspaces, which must outlive this object. */
+  void SetAdmission(workspace_admission& aAdmission)
+  {
+    mDispatcher.SetAdmission(&aAdmission);
+  }
 
   void OnReachabilityChanged(const std::string& aDataCentre,
                              bool aUnreachable,
@@ -96,6 +101,9 @@
                        const std::string& aReason) const;
   void AdvanceStop(model::instant aNow);
   control_plane::hooks MakeHooks();
+  void AddWorkspaceHooks(control_plane::hooks& aHooks);
+  /** Lets the dispatcher ask the store for the newest configuration. */
+  void ConnectWorkspaces();
 
   event_loop& mLoop;
   instance_settings mSettings;
--- a/src/gateway/query_context_type.h
+++ b/src/gateway/query_context_type.h
@@ -24,6 +24,7 @@
 class leaf_table;
 class permit_client;
 class relay_client;
+class workspace_admission;
 struct header_names;
 struct query_settings;
 
@@ -40,6 +41,8 @@
   const query_settings& mSettings;
   const ops::log& mLog;
   ops::metrics& mMetrics;
+  /** Quotas of workspaces; null: there are none. */
+  workspace_admission* mAdmission = nullptr;
 };
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/query_plan_type.h
+++ b/src/gateway/query_plan_type.h
@@ -20,6 +20,12 @@
 {
   serving::routing_config_ptr mConfig; ///< Owns the route.
   const serving::route* mRoute = nullptr;
+  /** Null for a public route, and where the configuration has none. Owned by
+   * the configuration. */
+  const serving::workspace* mWorkspace = nullptr;
+  /** Requests of rank 0 are served first; 0 where the configuration has no
+   * workspaces. */
+  int mRank = 0;
   /** One service, or the shards of a fan-out. */
   std::vector<std::string> mServices;
   std::shared_ptr<serving::route_latency> mLatency;
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -8,6 +8,7 @@
 #include "gateway/relay_client_base.h"
 #include "gateway/relay_fields_type.h"
 #include "gateway/request_head_func.h"
+#include "gateway/workspace_metrics_func.h"
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
 
@@ -46,6 +47,10 @@
                                        double aOffset)
   : mContext(aContext)
   , mTrafficSplit(aOffset)
+  , mKeyWaits(aContext.mLoop,
+              [this](const exchange_ptr& aExchange, model::instant aWaitEnd) {
+                Dispatch(aExchange, { aWaitEnd, std::nullopt });
+              })
 {
 }
 
@@ -58,6 +63,8 @@
       std::min(mEarlierConfigs.size(), kMaxEarlierConfigs));
   }
   mConfig = std::move(aConfig);
+  mUnknownKeys.OnConfig();
+  mKeyWaits.ResumeAll();
   std::erase_if(mLatencies, [&](const auto& aEntry) {
     const auto& routes = mConfig->Routes();
     return std::none_of(
@@ -79,14 +86,17 @@
 
 void
 request_dispatcher::Refuse(const exchange_ptr& aExchange,
-                           int aStatus,
-                           const char* aReason) const
+                           const refusal& aRefusal) const
 {
+  const auto& [status, reason, workspace, retryAfter] = aRefusal;
   http_response response;
-  response.mStatus = aStatus;
-  if (aStatus == 503) {
+  response.mStatus = status;
+  if (status == 503 || status == 429) {
     response.mFields.push_back(
-      { "Retry-After", FormatSeconds(mContext.mSettings.mRetryAfter) });
+      { "Retry-After",
+        FormatSeconds(retryAfter.value_or(mContext.mSettings.mRetryAfter)) });
+  } else if (status == 401) {
+    response.mFields.push_back({ "WWW-Authenticate", "Bearer" });
   }
   const std::string* id =
     aExchange->Request().Find(mContext.mHeaderNames.mRequestId);
@@ -94,14 +104,26 @@
     ops::log_level::Info,
     "refused",
     { { "request", id == nullptr ? std::string() : *id },
-      { "status", static_cast<long>(aStatus) },
-      { "reason", std::string(aReason) },
-      { "target", aExchange->Request().mTarget },
+      { "status", static_cast<long>(status) },
+      { "reason", std::string(reason) },
+      { "target", LoggedTarget(aExchange->Request().mTarget) },
+      { "workspace", workspace == nullptr ? std::string() : workspace->mName },
       { "config", static_cast<long>(mConfig ? mConfig->Version() : 0) } });
-  mContext.mMetrics.Count("refusals", { { "reason", aReason } });
+  mContext.mMetrics.Count("refusals", { { "reason", reason } });
+  if (workspace != nullptr) {
+    CountRefusal(mContext.mMetrics, workspace->mName, status, reason);
+  }
   aExchange->Respond(response);
 }
 
+std::string
+request_dispatcher::LoggedTarget(const std::string& aTarget) const
+{
+  return mConfig && mConfig->UsesWorkspaces()
+           ? aTarget.substr(0, aTarget.find('?'))
+           : aTarget;
+}
+
 once::screening_permit
 request_dispatcher::CheckQuarantine(const http_message& aRequest,
                                     const std::string& aHost) const
@@ -117,37 +139,59 @@
 
 void
 request_dispatcher::OnRequest(const exchange_ptr& aExchange)
+{
+  Dispatch(aExchange, {});
+}
+
+void
+request_dispatcher::Dispatch(const exchange_ptr& aExchange,
+                             const progress& aProgress)
 {
   const http_message& request = aExchange->Request();
   if (!mConfig) {
-    return Refuse(aExchange, 503, "no configuration yet");
+    return Refuse(aExchange, { 503, "no configuration yet" });
   }
   const std::string* host = request.Find("Host");
   if (host == nullptr || !IsOriginForm(request.mTarget)) {
-    return Refuse(aExchange, 400, "no host, or no path");
+    return Refuse(aExchange, { 400, "no host, or no path" });
   }
   const std::string* id = request.Find(mContext.mHeaderNames.mRequestId);
   const serving::route* route = mConfig->Match(*host, request.mTarget);
   if (route == nullptr) {
     return mConfigCurrent
-             ? Refuse(aExchange, 404, "no route")
-             : Refuse(aExchange, 503, "no route, configuration uncertain");
+             ? Refuse(aExchange, { 404, "no route" })
+             : Refuse(aExchange, { 503, "no route, configuration uncertain" });
   }
   if (id == nullptr || id->empty()) {
-    return Refuse(aExchange, 400, "no request id");
+    return Refuse(aExchange, { 400, "no request id" });
+  }
+  const auto timeout = Timeout(request, *route);
+  const model::instant deadline =
+    aExchange->ReceivedAt() + timeout.value_or(route->mTimeout);
+  const serving::workspace* workspace = nullptr;
+  if (NeedsKey(*route)) {
+    workspace = Authenticate(aExchange, deadline, aProgress);
+    if (workspace == nullptr) {
+      return;
+    }
   }
   const once::screening_permit permit = CheckQuarantine(request, *host);
   if (permit == once::screening_permit::Refused) {
-    return Refuse(aExchange, 503, once::kReasonQuarantined);
+    return Refuse(aExchange, { 503, once::kReasonQuarantined, workspace });
   }
-  const auto timeout = Timeout(request, *route);
   if (!timeout) {
-    return Refuse(aExchange, 400, "remaining time is no number");
+    return Refuse(aExchange, { 400, "remaining time is no number", workspace });
+  }
+  if (workspace != nullptr &&
+      !Charge(aExchange, *workspace, deadline, aProgress)) {
+    return;
   }
   mDemand.OnRequest(route->mName, aExchange->ReceivedAt());
   query_plan plan;
   plan.mConfig = mConfig;
   plan.mRoute = route;
+  plan.mWorkspace = workspace;
+  plan.mRank = serving::RankOf(*mConfig, *route, workspace);
   plan.mServices =
     route->IsFanOut()
       ? route->mShards
@@ -155,12 +199,21 @@
   plan.mLatency = LatencyOf(*route);
   plan.mRequestId = *id;
   plan.mSingleAttempt = permit != once::screening_permit::Unrestricted;
-  plan.mDeadline = aExchange->ReceivedAt() + *timeout;
-  if (route->IsFanOut() && mUsesRelay &&
+  plan.mDeadline = deadline;
+  Start(aExchange, std::move(plan));
+}
+
+void
+request_dispatcher::Start(const exchange_ptr& aExchange, query_plan aPlan)
+{
+  if (aPlan.mWorkspace != nullptr) {
+    CountRequest(mContext.mMetrics, aPlan.mWorkspace->mName);
+  }
+  if (aPlan.mRoute->IsFanOut() && mUsesRelay &&
       mContext.mRelay.HasRoot(aExchange->ReceivedAt())) {
-    Relay(aExchange, plan);
+    Relay(aExchange, aPlan);
   } else {
-    Execute(aExchange, std::move(plan));
+    Execute(aExchange, std::move(aPlan));
   }
 }
 
@@ -253,7 +306,7 @@
       id == nullptr || id->empty() || !IsOriginForm(request.mTarget)) {
     mContext.mLog.Write(ops::log_level::Warning,
                         "relayed_query_malformed",
-                        { { "target", request.mTarget } });
+                        { { "target", LoggedTarget(request.mTarget) } });
     return RefuseRelayed(aExchange, "malformed");
   }
   const auto wanted = static_cast<std::uint64_t>(*version);
--- a/src/gateway/request_dispatcher_base.h
+++ b/src/gateway/request_dispatcher_base.h
@@ -7,6 +7,7 @@
 
 #include "gateway/exchange_base.h"
 #include "gateway/header_names_type.h"
+#include "gateway/key_wait_list_base.h"
 #include "gateway/query_context_type.h"
 #include "gateway/query_settings_type.h"
 #include "once/quarantine_base.h"
@@ -14,15 +15,18 @@
 #include "serving/retry_budget_base.h"
 #include "serving/route_latency_type.h"
 #include "serving/routing_config_base.h"
+#include "serving/unknown_key_policy_base.h"
 #include "serving/weighted_split_base.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
 
 namespace monsooncroft::gateway {
 
+struct admission_decision;
 struct query_plan;
 
 /** Matches requests to routes and refuses those that cannot be served. */
@@ -37,6 +41,19 @@
   /** Sets whether the configuration is known to be current: an unknown path is
    * then refused with 404, since no newer configuration can be in force. */
   void SetConfigCurrent(bool aCurrent) { mConfigCurrent = aCurrent; }
+  /** Sets a function that reads the newest configuration from the store.
+   * @param aReader Returns whether it has started a read. */
+  void SetConfigReader(std::function<bool()> aReader)
+  {
+    mReadConfig = std::move(aReader);
+  }
+  /** The store had no newer configuration at that time. */
+  void OnConfigConfirmed(model::instant aAt);
+  /** Sets the quotas of workspaces; null: requests are not charged. */
+  void SetAdmission(workspace_admission* aAdmission)
+  {
+    mContext.mAdmission = aAdmission;
+  }
   const serving::recent_demand& Demand() const { return mDemand; }
   /** Sets whether fan-outs are handed to roots. */
   void SetUsesRelay(bool aUses) { mUsesRelay = aUses; }
@@ -47,6 +64,48 @@
   void RefuseRelayed(const exchange_ptr& aExchange, const char* aReason) const;
 
 private:
+  /** What has been decided on a request that waits or has waited. */
+  struct progress
+  {
+    /** End of the wait for a configuration with its key. */
+    std::optional<model::instant> mKeyWaitEnd;
+    /** Name of the workspace that it has been charged to. */
+    std::optional<std::string> mChargedTo;
+  };
+  struct quota_wait;
+  /** Why a request is refused. */
+  struct refusal
+  {
+    int mStatus;
+    const char* mReason;
+    const serving::workspace* mWorkspace = nullptr; ///< If it is known.
+    /** Nothing: the usual time. */
+    std::optional<std::chrono::milliseconds> mRetryAfter{};
+  };
+
+  /** Validates a request with the configuration in force and starts it. Called
+   * again after each wait, since the configuration may have changed. */
+  void Dispatch(const exchange_ptr& aExchange, const progress& aProgress);
+  /** Whether the request needs a key. */
+  bool NeedsKey(const serving::route& aRoute) const
+  {
+    return mConfig->UsesWorkspaces() && !aRoute.mPublic;
+  }
+  /** Finds the workspace of the request's key. If there is none, the request is
+   * refused or waits for a newer configuration. */
+  const serving::workspace* Authenticate(const exchange_ptr& aExchange,
+                                         model::instant aDeadline,
+                                         const progress& aProgress);
+  void RefuseKey(const exchange_ptr& aExchange);
+  /** Charges the request to its workspace's quota.
+   * @return Whether it may go on now; otherwise it has been refused, or is
+   * dispatched again after the decision. */
+  bool Charge(const exchange_ptr& aExchange,
+              const serving::workspace& aWorkspace,
+              model::instant aDeadline,
+              const progress& aProgress);
+  void OnQuotaDecision(const std::shared_ptr<quota_wait>& aWait,
+                       const admission_decision& aDecision);
   /** Time that the caller waits, of the route and of the request; nothing if
    * the field cannot be read. */
   std::optional<std::chrono::milliseconds> Timeout(
@@ -55,11 +114,13 @@
   /** The configuration of this version, or the newest one if it is not known
    * any more. */
   serving::routing_config_ptr ConfigOfVersion(std::uint64_t aVersion) const;
+  /** Executes the request here, or hands it to a root. */
+  void Start(const exchange_ptr& aExchange, query_plan aPlan);
   void Relay(const exchange_ptr& aExchange, const query_plan& aPlan);
   void Execute(const exchange_ptr& aExchange, query_plan aPlan);
-  void Refuse(const exchange_ptr& aExchange,
-              int aStatus,
-              const char* aReason) const;
+  void Refuse(const exchange_ptr& aExchange, const refusal& aRefusal) const;
+  /** A request's target for the log, without what may hold a key. */
+  std::string LoggedTarget(const std::string& aTarget) const;
   /** Returns how a request may go to leaves, given the crashes that requests of
    * the same content have caused. */
   once::screening_permit CheckQuarantine(const http_message& aRequest,
@@ -75,6 +136,9 @@
    * first. */
   std::deque<serving::routing_config_ptr> mEarlierConfigs;
   bool mConfigCurrent = true;
+  std::function<bool()> mReadConfig;
+  serving::unknown_key_policy mUnknownKeys;
+  key_wait_list mKeyWaits;
   bool mUsesRelay = false;
   std::unordered_map<std::string, std::shared_ptr<serving::route_latency>>
     mLatencies; ///< By name of the route.
--- a/src/serving/routing_config.cpp
+++ b/src/serving/routing_config.cpp
@@ -126,4 +126,17 @@
   return found == mContent.mServices.end() ? 1 : found->second.mMaxConnections;
 }
 
+int
+RankOf(const routing_config& aConfig,
+       const route& aRoute,
+       const workspace* aWorkspace)
+{
+  if (!aConfig.UsesWorkspaces()) {
+    return 0;
+  }
+  return aWorkspace == nullptr
+           ? aRoute.mPriority
+           : aWorkspace->mPriority.value_or(aRoute.mPriority);
+}
+
 } // namespace monsooncroft::serving
--- a/src/serving/routing_config_base.h
+++ b/src/serving/routing_config_base.h
@@ -126,6 +126,13 @@
   std::unordered_map<std::string, const workspace*> mWorkspacesByName;
 };
 
+/** Rank of a request; those of rank 0 are served first.
+ * @param aWorkspace Null for a request without a key. */
+int
+RankOf(const routing_config& aConfig,
+       const route& aRoute,
+       const workspace* aWorkspace);
+
 using routing_config_ptr = std::shared_ptr<const routing_config>;
 
 } // namespace monsooncroft::serving
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -36,10 +36,12 @@
   void ReadConfig(bool /*aMayBeStale*/, callback<config_text> aDone) override
   {
     ++mConfigReads;
-    if (mDown || mContent.mVersion == 0) {
+    if (mHoldsConfigReads) {
+      mHeldConfigReads.push_back(std::move(aDone));
+    } else if (mDown || mContent.mVersion == 0) {
       aDone(mDown ? store_error::Unreachable : store_error::Absent);
     } else {
-      aDone(config_text{ 1, std::to_string(mContent.mVersion) });
+      aDone(config_text{ mConfigRevision, std::to_string(mContent.mVersion) });
     }
   }
   void WatchConfig(model::store_revision /*aAfter*/,
@@ -88,6 +90,9 @@
   int mConfigReads = 0;
   std::uint64_t mWatchesEndedBefore = 0;
   std::uint64_t mRevision = 1;
+  std::uint64_t mConfigRevision = 1; ///< Of what ReadConfig() returns.
+  bool mHoldsConfigReads = false;    ///< Reads are not answered.
+  std::vector<callback<config_text>> mHeldConfigReads;
   std::vector<serving::leaf_registration> mLeaves;
   serving::routing_config::content mContent;
   callback<serving::directory_delta> mDirectoryWatch;
