Leaves get the workspace's name, and no key or field that a caller made up

Where the configuration has workspaces, Authorization, the workspace field and `Relay-*` are removed from what a caller sent, also with a space before the colon (the parser keeps it in the name) or an underscore in place of a hyphen (equal for servers with CGI names). Leaves get the workspace's name in header_names::mWorkspace; on public routes they get none. A query handed to a root carries the name in `Relay-Workspace`; the root sets the leaves' field from it, and neither authenticates nor charges again. A root whose configuration has no such workspace declines ("no workspace"), so that the receiver executes the query.

Fault found and mended: a caller's `Relay-Config` and `Relay-Resent` were forwarded to roots ahead of the instance's own fields, and the root read the caller's. Queries handed to roots carry no `Relay-*` field of a caller any more, also without workspaces. Otherwise everything is forwarded as before where the configuration has none.

--- a/src/gateway/bearer_key.cpp
+++ b/src/gateway/bearer_key.cpp
@@ -71,4 +71,11 @@
                     });
 }
 
+bool
+MayBeTakenForPrefix(std::string_view aField, std::string_view aPrefix)
+{
+  const auto begin = std::min(aField.find_first_not_of(kSpaces), aField.size());
+  return MayBeTakenFor(aField.substr(begin, aPrefix.size()), aPrefix);
+}
+
 } // namespace monsooncroft::gateway
--- a/src/gateway/bearer_key_func.h
+++ b/src/gateway/bearer_key_func.h
@@ -31,6 +31,10 @@
 bool
 MayBeTakenFor(std::string_view aField, std::string_view aName);
 
+/** The same for the beginning of a field's name. */
+bool
+MayBeTakenForPrefix(std::string_view aField, std::string_view aPrefix);
+
 } // namespace monsooncroft::gateway
 
 #endif
--- a/src/gateway/leaf_attempt_type.h
+++ b/src/gateway/leaf_attempt_type.h
@@ -60,6 +60,7 @@
   std::string mHead; ///< Request line and fields, without the final empty line.
   std::string mBody;
   std::string mRequestId;
+  std::string mWorkspace;       ///< Name of the caller's workspace, or empty.
   bool mNoBodyExpected = false; ///< The method is HEAD.
   bool mRunOnce = false;        ///< It must not run twice.
   /** The same whenever the same query is sent. */
--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -63,7 +63,10 @@
   mLeafRequest = MakeLeafRequest(mExchange->Request(),
                                  mContext.mHeaderNames,
                                  mPlan.mRequestId,
-                                 mPlan.mRoute->mRepeatability);
+                                 { mPlan.mRoute->mRepeatability,
+                                   request_receiver::Leaf,
+                                   mPlan.mConfig->UsesWorkspaces(),
+                                   mPlan.WorkspaceName() });
   const auto self = shared_from_this();
   // Weak: attempts own the execution, the caller's connection does not.
   mExchange->OnCallerLeft([weak = weak_from_this()] {
--- a/src/gateway/query_execution_answer.cpp
+++ b/src/gateway/query_execution_answer.cpp
@@ -8,6 +8,7 @@
 #include "gateway/header_names_type.h"
 #include "gateway/query_settings_type.h"
 #include "gateway/request_head_func.h"
+#include "gateway/workspace_metrics_func.h"
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
 #include "serving/record_merge_func.h"
@@ -151,6 +152,7 @@
     "request",
     { { "request", mPlan.mRequestId },
       { "route", mPlan.mRoute->mName },
+      { "workspace", mPlan.WorkspaceName() },
       { "config", static_cast<long>(mPlan.mConfig->Version()) },
       { "outcome", std::string(aOutcome) },
       { "status",
@@ -168,6 +170,14 @@
                           { { "route", mPlan.mRoute->mName },
                             { "outcome", aOutcome },
                             { "reason", mLastReason } });
+  // The instance that received the request counts a root's refusal.
+  if (aResponse != nullptr && mPlan.mWorkspace != nullptr &&
+      !mPlan.mAnswerWithin) {
+    CountRefusal(mContext.mMetrics,
+                 mPlan.mWorkspace->mName,
+                 aResponse->mStatus,
+                 mLastReason);
+  }
   ops::query_measurements figures;
   figures.mLatency = latency;
   figures.mCoverage =
--- a/src/gateway/query_plan_type.h
+++ b/src/gateway/query_plan_type.h
@@ -39,6 +39,12 @@
   /** Another instance may have executed the query before: each attempt counts
    * as a retry. */
   bool mIsResent = false;
+
+  /** Empty without a workspace. */
+  std::string WorkspaceName() const
+  {
+    return mWorkspace == nullptr ? std::string() : mWorkspace->mName;
+  }
 };
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/relay_client.cpp
+++ b/src/gateway/relay_client.cpp
@@ -10,6 +10,7 @@
 #include "gateway/loop_timer_base.h"
 #include "gateway/relay_fields_type.h"
 #include "gateway/request_head_func.h"
+#include "gateway/workspace_metrics_func.h"
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
 
@@ -54,7 +55,10 @@
     mRequest = MakeLeafRequest(mQuery.mExchange->Request(),
                                mClient.mHeaderNames,
                                mQuery.mRequestId,
-                               serving::repeatability::Idempotent);
+                               { serving::repeatability::Idempotent,
+                                 request_receiver::Root,
+                                 mQuery.mUsesWorkspaces,
+                                 mQuery.mWorkspace });
     mQuery.mExchange->OnCallerLeft([weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
         self->OnCallerLeft();
@@ -182,6 +186,12 @@
   void Respond(const http_response& aResponse, model::instant aNow)
   {
     mQuery.mExchange->Respond(aResponse);
+    if (!mQuery.mWorkspace.empty()) {
+      CountRefusal(mClient.mMetrics,
+                   mQuery.mWorkspace,
+                   aResponse.mStatus,
+                   mOverloaded ? "roots overloaded" : "refused at the root");
+    }
     Log("relayed", aResponse.mStatus, aNow);
   }
 
@@ -204,6 +214,7 @@
       "relay",
       { { "request", mQuery.mRequestId },
         { "route", mQuery.mRouteName },
+        { "workspace", mQuery.mWorkspace },
         { "config", static_cast<long>(mQuery.mConfigVersion) },
         { "outcome", std::string(aOutcome) },
         { "status", static_cast<long>(aStatus) },
--- a/src/gateway/relay_client_base.h
+++ b/src/gateway/relay_client_base.h
@@ -33,6 +33,8 @@
   std::string mRequestId;
   std::string mRouteName;
   std::uint64_t mConfigVersion = 0; ///< In force at this instance.
+  bool mUsesWorkspaces = false;     ///< That configuration has workspaces.
+  std::string mWorkspace;           ///< Name of the caller's; empty: none.
   model::instant mAnswerBy; ///< When the caller needs an answer, if partial.
   model::instant mDeadline; ///< The caller waits no longer.
 };
--- a/src/gateway/relay_fields_type.h
+++ b/src/gateway/relay_fields_type.h
@@ -13,6 +13,10 @@
 constexpr const char* kAnswerWithinUs = "Relay-Answer-Within";
 /** Present if another instance may have executed the query. */
 constexpr const char* kResent = "Relay-Resent";
+/** Name of the caller's workspace. */
+constexpr const char* kWorkspace = "Relay-Workspace";
+/** All fields between instances begin with this. */
+constexpr const char* kPrefix = "Relay-";
 /** Reason for which a root has not executed a query. */
 constexpr const char* kRefused = "Relay-Refused";
 /** Value of that field: the root executes too many queries. */
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -250,6 +250,8 @@
   query.mRequestId = aPlan.mRequestId;
   query.mRouteName = aPlan.mRoute->mName;
   query.mConfigVersion = aPlan.mConfig->Version();
+  query.mUsesWorkspaces = aPlan.mConfig->UsesWorkspaces();
+  query.mWorkspace = aPlan.WorkspaceName();
   query.mAnswerBy =
     query_execution::PartialAnswerAt(mContext.mSettings, *aExchange, aPlan);
   query.mDeadline = aPlan.mDeadline;
@@ -289,17 +291,22 @@
 request_dispatcher::OnRelayedRequest(const exchange_ptr& aExchange)
 {
   http_message& request = aExchange->Request();
-  const auto takeNumber = [&request](const char* aName) -> std::optional<long> {
+  const auto take = [&request](const char* aName) {
     const std::string* value = request.Find(aName);
-    const auto number = value == nullptr ? std::nullopt : ParseNumber(*value);
+    auto text = value == nullptr ? std::nullopt : std::optional(*value);
     std::erase_if(request.mFields, [&](const http_field& aField) {
       return EqualsIgnoreCase(aField.mName, aName);
     });
-    return number;
+    return text;
+  };
+  const auto takeNumber = [&take](const char* aName) {
+    const auto text = take(aName);
+    return text ? ParseNumber(*text) : std::nullopt;
   };
   const auto version = takeNumber(relay_fields::kConfigVersion);
   const auto within = takeNumber(relay_fields::kAnswerWithinUs);
   const bool isResent = takeNumber(relay_fields::kResent).has_value();
+  const auto workspaceName = take(relay_fields::kWorkspace);
   const std::string* host = request.Find("Host");
   const std::string* id = request.Find(mContext.mHeaderNames.mRequestId);
   if (!version || *version < 0 || !within || *within < 0 || host == nullptr ||
@@ -319,6 +326,14 @@
   if (plan.mRoute == nullptr || !plan.mRoute->IsFanOut()) {
     return RefuseRelayed(aExchange, "no fan-out");
   }
+  if (plan.mConfig->UsesWorkspaces() && !plan.mRoute->mPublic) {
+    plan.mWorkspace =
+      plan.mConfig->WorkspaceNamed(workspaceName.value_or(std::string()));
+    if (plan.mWorkspace == nullptr) {
+      return RefuseRelayed(aExchange, "no workspace");
+    }
+  }
+  plan.mRank = serving::RankOf(*plan.mConfig, *plan.mRoute, plan.mWorkspace);
   const auto timeout = Timeout(request, *plan.mRoute);
   const once::screening_permit permit = CheckQuarantine(request, *host);
   if (!timeout || permit == once::screening_permit::Refused) {
--- a/src/gateway/request_head.cpp
+++ b/src/gateway/request_head.cpp
@@ -4,7 +4,9 @@
  */
 #include "gateway/request_head_func.h"
 
+#include "gateway/bearer_key_func.h"
 #include "gateway/header_names_type.h"
+#include "gateway/relay_fields_type.h"
 #include "model/answer_type.h"
 
 #include <algorithm>
@@ -66,17 +68,38 @@
   return connectionField != nullptr && ContainsName(*connectionField, aName);
 }
 
+/** Whether a caller's field does not reach the receiver, because it holds the
+ * key or could be taken for a field that this tier sets. */
+bool
+IsWithheld(std::string_view aName,
+           const header_names& aHeaderNames,
+           const forwarding& aForwarding)
+{
+  if (!aForwarding.mUsesWorkspaces &&
+      aForwarding.mReceiver == request_receiver::Leaf) {
+    return false;
+  }
+  if (MayBeTakenForPrefix(aName, relay_fields::kPrefix)) {
+    return true;
+  }
+  return aForwarding.mUsesWorkspaces &&
+         (MayBeTakenFor(aName, kAuthorizationField) ||
+          MayBeTakenFor(aName, aHeaderNames.mWorkspace));
+}
+
 } // namespace
 
 std::shared_ptr<const leaf_request>
 MakeLeafRequest(const http_message& aRequest,
                 const header_names& aHeaderNames,
                 const std::string& aRequestId,
-                serving::repeatability aRepeatability)
+                const forwarding& aForwarding)
 {
   auto text = std::make_shared<leaf_request>();
   text->mRequestId = aRequestId;
-  text->mRunOnce = aRepeatability == serving::repeatability::RunOnce;
+  text->mRunOnce =
+    aForwarding.mRepeatability == serving::repeatability::RunOnce;
+  text->mWorkspace = aForwarding.mWorkspace;
   text->mContentHash = HashRequestContent(aRequest);
   text->mBody = aRequest.mBody;
   text->mNoBodyExpected = aRequest.mMethod == "HEAD";
@@ -87,11 +110,20 @@
   for (const http_field& field : aRequest.mFields) {
     if (IsConnectionField(aRequest, field.mName) ||
         EqualsIgnoreCase(field.mName, aHeaderNames.mRemainingMs) ||
-        EqualsIgnoreCase(field.mName, aHeaderNames.mExpectedLeaf)) {
+        EqualsIgnoreCase(field.mName, aHeaderNames.mExpectedLeaf) ||
+        IsWithheld(field.mName, aHeaderNames, aForwarding)) {
       continue;
     }
     head.append(field.mName).append(": ").append(field.mValue).append("\r\n");
   }
+  const std::string_view workspaceField =
+    aForwarding.mReceiver == request_receiver::Root
+      ? std::string_view(relay_fields::kWorkspace)
+      : aHeaderNames.mWorkspace;
+  if (!aForwarding.mWorkspace.empty() && !workspaceField.empty()) {
+    head.append(workspaceField).append(": ");
+    head.append(aForwarding.mWorkspace).append("\r\n");
+  }
   if (!aRequest.mBody.empty() || aRequest.mMethod == "POST" ||
       aRequest.mMethod == "PUT" || aRequest.mMethod == "PATCH") {
     head.append("Content-Length: ");
--- a/src/gateway/request_head_func.h
+++ b/src/gateway/request_head_func.h
@@ -10,6 +10,7 @@
 #include "serving/route_type.h"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -17,16 +18,35 @@
 
 struct header_names;
 
+/** Receivers of forwarded requests. */
+enum class request_receiver : std::uint8_t
+{
+  Leaf,
+  Root, ///< Another instance, which executes the query.
+};
+
+/** How a request is forwarded. */
+struct forwarding
+{
+  serving::repeatability mRepeatability = serving::repeatability::Idempotent;
+  request_receiver mReceiver = request_receiver::Leaf;
+  /** The configuration has workspaces: the key and a workspace that the caller
+   * names are not forwarded. */
+  bool mUsesWorkspaces = false;
+  std::string mWorkspace; ///< Name that the receiver gets; empty: none.
+};
+
 /**
- * Builds the request to leaves from a caller's request. Method, target, body
- * and fields are unchanged, except hop-by-hop fields, framing, and the fields
- * that are set for each attempt.
+ * Builds the request to leaves or to a root from a caller's request. Method,
+ * target, body and fields are unchanged, except hop-by-hop fields, framing, the
+ * fields that are set for each attempt, and those that concern workspaces. A
+ * root gets no field that callers could confuse with those of other instances.
  */
 std::shared_ptr<const leaf_request>
 MakeLeafRequest(const http_message& aRequest,
                 const header_names& aHeaderNames,
                 const std::string& aRequestId,
-                serving::repeatability aRepeatability);
+                const forwarding& aForwarding);
 
 /** Hashes a request's content: the same for all callers and repetitions. */
 once::content_hash
--- a/test/adapter/decode_test.cpp
+++ b/test/adapter/decode_test.cpp
@@ -38,6 +38,7 @@
   EXPECT_EQ(settings.mPeerAddress, (model::endpoint{ "10.1.0.9", 7380 }));
   EXPECT_EQ(settings.mSeeds[1], (model::endpoint{ "10.2.0.21", 7380 }));
   EXPECT_EQ(settings.mStoreAddress.mPort, 8102);
+  EXPECT_EQ(settings.mHeaderNames.mWorkspace, "X-Monsooncroft-Tenant");
   EXPECT_DOUBLE_EQ(settings.mRetryBudget.mSlack, 58);
   EXPECT_EQ(settings.mStopBound, milliseconds(6'000));
 }
--- a/test/gateway/http_reader_test.cpp
+++ b/test/gateway/http_reader_test.cpp
@@ -139,7 +139,7 @@
                       { "Transfer-Encoding", "chunked" },
                       { "Accept", "a" } };
   const auto text =
-    MakeLeafRequest(request, kNames, "1", serving::repeatability::RunOnce);
+    MakeLeafRequest(request, kNames, "1", { serving::repeatability::RunOnce });
   EXPECT_EQ(text->mHead,
             "POST /a?b HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nAccept: a\r\n"
             "Content-Length: 4\r\n");
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -47,6 +47,8 @@
       query.mRequestId = "r";
       query.mRouteName = "all";
       query.mConfigVersion = 7;
+      query.mUsesWorkspaces = !mTest.mWorkspace.empty();
+      query.mWorkspace = mTest.mWorkspace;
       query.mAnswerBy = now + milliseconds(60);
       query.mDeadline = now + milliseconds(900);
       mTest.mClient.Send(
@@ -94,6 +96,7 @@
     };
   }
 
+  std::string mWorkspace; ///< Of the callers; empty: there are none.
   std::vector<serving::root_address> mAddresses;
   std::optional<bool> mFallback; ///< Whether the query may have run.
   /** Time for which the instance does nothing else after it has started to hand
@@ -126,6 +129,37 @@
   EXPECT_EQ(root.mConnections.size(), 1U); // Kept between queries.
 }
 
+/** Callers' fields reached the root before those of the instance, and were read
+ * in their place. */
+TEST_F(relay_test, ACallerCannotSetTheFieldsBetweenInstances)
+{
+  http_message received;
+  AddRoot([&](auto& aConnection, const auto& aRequest) {
+    received = aRequest;
+    aConnection.Write(kConfirmation + Result(200, ""));
+  });
+  const std::string forged = "Relay-Config: 3\r\nRelay-Resent: 1\r\n"
+                             "relay_answer-within: 1\r\n"
+                             "Relay-Workspace: other\r\nRelay-Later: 1\r\n"
+                             "X-Mine: 1\r\nAuthorization: Bearer k\r\n";
+  SendRequest("/all/x", "r", forged);
+  EXPECT_EQ(*received.Find("Relay-Config"), "7");
+  EXPECT_EQ(received.Find("Relay-Resent"), nullptr);
+  EXPECT_EQ(received.Find("relay_answer-within"), nullptr);
+  EXPECT_EQ(received.Find("Relay-Workspace"), nullptr);
+  EXPECT_EQ(received.Find("Relay-Later"), nullptr);
+  EXPECT_NE(received.Find("X-Mine"), nullptr);
+  EXPECT_EQ(*received.Find("Authorization"), "Bearer k");
+
+  mWorkspace = "acme";
+  mSettings.mHeaderNames.mWorkspace = "X-Workspace";
+  SendRequest("/all/x", "r", forged + "x_workspace: other\r\n");
+  EXPECT_EQ(*received.Find("Relay-Workspace"), "acme");
+  EXPECT_EQ(received.Find("Authorization"), nullptr);
+  EXPECT_EQ(received.Find("x_workspace"), nullptr);
+  EXPECT_NE(received.Find("X-Mine"), nullptr);
+}
+
 /** A root that is suspended or cut off accepts the connection, or has accepted
  * it before, and says nothing. */
 TEST_F(relay_test, ARootThatDoesNotConfirmIsReplacedInTime)
@@ -468,6 +502,54 @@
   EXPECT_EQ(Hand(within + "Relay-Config: 1\r\n").mStatus, 200);
 }
 
+/** Guards against leaves that get no workspace, or another one, from a root;
+ * and against roots that charge or authenticate again. */
+TEST_F(root_test, ARootNamesTheWorkspaceThatItsReceiverFound)
+{
+  std::vector<http_message> received;
+  mLeaves.front()->mOnRequest = [&](auto& aConnection, const auto& aRequest) {
+    received.push_back(aRequest);
+    aConnection.Write(OkAnswer(aRequest, "sig1", std::string(16, 'a')));
+  };
+  mSettings.mHeaderNames.mWorkspace = "X-Workspace";
+  mRootSettings.mHeaderNames.mWorkspace = "X-Workspace";
+  mStore.mContent.mRoutes.front().mPublic = false;
+  mStore.mContent.mWorkspaces = { { "acme", { "k" }, {}, 0, 0, {} } };
+  mRootStore.mContent = mStore.mContent;
+  StartBoth();
+  const std::string forged = "X-Workspace: other\r\nX-Workspace : other\r\n"
+                             "Relay-Workspace: other\r\n";
+  EXPECT_EQ(SendRequest("/all/x", "r1", forged).mStatus, 401);
+  EXPECT_EQ(
+    SendRequest("/all/x", "r2", forged + "Authorization: Bearer k\r\n").mStatus,
+    200);
+  EXPECT_EQ(Relayed(), 1);
+  const std::string fields =
+    "Relay-Answer-Within: 50000\r\nRelay-Config: 1\r\n";
+  EXPECT_EQ(Hand(fields + "Relay-Workspace: acme\r\nX-Workspace: other\r\n"
+                          "Authorization: Bearer k\r\n")
+              .mStatus,
+            200);
+  ASSERT_EQ(received.size(), 2U);
+  for (const http_message& request : received) {
+    std::vector<std::string> names;
+    for (const http_field& field : request.mFields) {
+      if (field.mName.find("orkspace") != std::string::npos) {
+        names.push_back(field.mName + "=" + field.mValue);
+      }
+    }
+    EXPECT_EQ(names, std::vector<std::string>{ "X-Workspace=acme" });
+    EXPECT_EQ(request.Find("Authorization"), nullptr);
+  }
+  // No workspace, or one that the configuration does not have.
+  EXPECT_EQ(*Hand(fields).Find("Relay-Refused"), "no workspace");
+  EXPECT_EQ(*Hand(fields + "Relay-Workspace: other\r\n").Find("Relay-Refused"),
+            "no workspace");
+  EXPECT_EQ(*Hand(fields + "Authorization: Bearer k\r\n").Find("Relay-Refused"),
+            "no workspace");
+  EXPECT_EQ(received.size(), 2U);
+}
+
 /** A query is executed with the configuration of the instance that received it,
  * which may not have the newest one yet. */
 TEST_F(root_test, AQueryIsExecutedWithTheConfigurationOfItsReceiver)
