Requests that wait for a leaf are ordered by rank and shared between workspaces

Requests that still wait earn nothing: in a first attempt they did, and a burst of three went ahead of an urgent rank.

Without workspaces there is one flow, sent in the order of time as before (20,000 random steps against the former order).

A root's room for 24 queries of other instances: a workspace may have at most twice the free room in progress, so that one alone gets 16, several greedy ones get equal parts, and some always remains. Without workspaces the limit is as before.

Tests in virtual time: FairQueue (8), FairRoom; over loopback: workspace_order_test (2), root_test.OneWorkspaceDoesNotTakeAllRoomOfARoot.

--- a/src/gateway/leaf_attempt_type.h
+++ b/src/gateway/leaf_attempt_type.h
@@ -75,7 +75,10 @@
   /** Null after the attempt is abandoned. */
   std::shared_ptr<attempt_observer> mObserver;
   std::size_t mShardIndex = 0; ///< Index of the shard in the request.
-  /** Target time of the answer; queued attempts are sent earliest first. */
+  /** Queued attempts of lower ranks are sent first. */
+  int mRank = 0;
+  /** Target time of the answer; within a rank, attempts of one workspace are
+   * sent earliest first. */
   model::instant mAnswerBy;
   model::instant mDeadline;               ///< The caller waits no longer.
   model::duration mRouteMeanLatency{ 0 }; ///< Mean latency of the route.
--- a/src/gateway/leaf_endpoint.cpp
+++ b/src/gateway/leaf_endpoint.cpp
@@ -25,6 +25,9 @@
  * use of other instances: about the time between two requests of an instance if
  * instances outnumber connections. */
 constexpr std::chrono::milliseconds kSharedIdleTimeout{ 1'500 };
+/** Least work that an attempt counts for in the shares of workspaces: what a
+ * leaf spends on any request. */
+constexpr std::chrono::milliseconds kMinAttemptCost{ 1 };
 
 } // namespace
 
@@ -92,14 +95,14 @@
 {
   aAttempt->mQueuedAt = aNow;
   mLoad.OnAttemptSent(aNow, aAttempt->mRouteMeanLatency);
-  const auto position = std::upper_bound(
-    mQueue.begin(),
-    mQueue.end(),
-    aAttempt->mAnswerBy,
-    [](model::instant aAnswerBy, const leaf_attempt_ptr& aOther) {
-      return aAnswerBy < aOther->mAnswerBy;
-    });
-  mQueue.insert(position, std::move(aAttempt));
+  const leaf_attempt& attempt = *aAttempt;
+  const serving::queue_position position{
+    attempt.mRequest->mWorkspace,
+    attempt.mRank,
+    attempt.mAnswerBy,
+    std::max<model::duration>(attempt.mRouteMeanLatency, kMinAttemptCost)
+  };
+  mQueue.Insert(std::move(aAttempt), position);
   Dispatch(aNow);
 }
 
@@ -112,32 +115,24 @@
   if (!aConnection.Usable(aNow)) {
     return;
   }
-  const auto next =
-    std::find_if(mQueue.begin(), mQueue.end(), [&](const auto& aQueued) {
-      return aConnection.MayCarry(aQueued->mRequest);
-    });
-  if (next == mQueue.end()) {
-    return;
+  const auto next = mQueue.TakeNext([&](const leaf_attempt_ptr& aQueued) {
+    return aConnection.MayCarry(aQueued->mRequest);
+  });
+  if (next) {
+    aConnection.Send(*next, aNow);
   }
-  const leaf_attempt_ptr attempt = *next;
-  mQueue.erase(next);
-  aConnection.Send(attempt, aNow);
 }
 
 void
 leaf_endpoint::DropExpired(model::instant aNow)
 {
-  std::vector<leaf_attempt_ptr> expired;
-  for (auto position = mQueue.begin(); position != mQueue.end();) {
-    const leaf_attempt_ptr& attempt = *position;
-    if (attempt->mObserver && aNow < attempt->mDeadline) {
-      ++position;
-      continue;
-    }
+  const std::vector<leaf_attempt_ptr> expired =
+    mQueue.RemoveIf([&](const leaf_attempt_ptr& aQueued) {
+      return !aQueued->mObserver || aNow >= aQueued->mDeadline;
+    });
+  for (const leaf_attempt_ptr& attempt : expired) {
     mLoad.OnAttemptDropped(
       attempt->mQueuedAt, std::nullopt, attempt->mRouteMeanLatency, aNow);
-    expired.push_back(attempt);
-    position = mQueue.erase(position);
   }
   for (const leaf_attempt_ptr& attempt : expired) {
     attempt->End({ attempt_end::NotSent, {}, "expired in the queue" });
@@ -148,13 +143,13 @@
 leaf_endpoint::Dispatch(model::instant aNow)
 {
   for (std::size_t position = 0;
-       position < mConnections.size() && !mQueue.empty();
+       position < mConnections.size() && !mQueue.Empty();
        ++position) {
     if (mConnections[position]->Usable(aNow)) {
       SendNextQueued(*mConnections[position], aNow);
     }
   }
-  if (ConnectingCount() >= mQueue.size() || mRetired ||
+  if (ConnectingCount() >= mQueue.Size() || mRetired ||
       mLoad.InConnectBackoff(aNow) || aNow < mConnectionLimitUntil) {
     return;
   }
@@ -286,13 +281,13 @@
 bool
 leaf_endpoint::Drained() const
 {
-  return mConnections.empty() && mQueue.empty();
+  return mConnections.empty() && mQueue.Empty();
 }
 
 void
 leaf_endpoint::FailQueued(const char* aReason)
 {
-  const auto queued = std::exchange(mQueue, {});
+  const std::vector<leaf_attempt_ptr> queued = mQueue.TakeAll();
   for (const leaf_attempt_ptr& attempt : queued) {
     mLoad.OnAttemptDropped(attempt->mQueuedAt,
                            std::nullopt,
--- a/src/gateway/leaf_endpoint_base.h
+++ b/src/gateway/leaf_endpoint_base.h
@@ -8,10 +8,10 @@
 #include "gateway/leaf_attempt_type.h"
 #include "once/crash_detector_base.h"
 #include "serving/connection_allocation_func.h"
+#include "serving/fair_queue_base.h"
 #include "serving/leaf_health_base.h"
 #include "serving/leaf_registration_type.h"
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -97,8 +97,8 @@
   serving::leaf_health& Load() { return mLoad; }
   const serving::leaf_health& Load() const { return mLoad; }
 
-  /** Sends the attempt as soon as a connection is free; the attempt with the
-   * earliest target time goes first. */
+  /** Sends the attempt as soon as a connection is free, in the order of
+   * fair_queue. */
   void Submit(leaf_attempt_ptr aAttempt, model::instant aNow);
   /** Sends queued attempts and opens connections up to this instance's
    * allocation. */
@@ -176,7 +176,7 @@
   /** Set when the leaf closes an idle connection. */
   model::instant mPreconnectFrom;
   std::vector<std::unique_ptr<leaf_connection>> mConnections;
-  std::deque<leaf_attempt_ptr> mQueue; ///< Earliest target time first.
+  serving::fair_queue<leaf_attempt_ptr> mQueue;
 };
 
 using leaf_endpoint_ptr = std::shared_ptr<leaf_endpoint>;
--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -357,6 +357,7 @@
   attempt->mRequest = mLeafRequest;
   attempt->mObserver = shared_from_this();
   attempt->mShardIndex = aShardIndex;
+  attempt->mRank = mPlan.mRank;
   attempt->mAnswerBy = mRequirements.mPartialAnswerAt;
   attempt->mDeadline = mRequirements.mDeadline;
   attempt->mRouteMeanLatency = mPlan.mLatency->Mean();
--- a/src/gateway/relay_handler_base.h
+++ b/src/gateway/relay_handler_base.h
@@ -9,13 +9,17 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
+#include <string>
+#include <vector>
 
 namespace monsooncroft::gateway {
 
 class request_dispatcher;
 
 /** Executes queries of other instances, as many at a time as a root can answer
- * within their target latencies; more are refused at once. */
+ * within their target latencies; more are refused at once. Where the
+ * configuration has workspaces, none of them takes all room. */
 class relay_handler : public request_handler
 {
 public:
@@ -30,8 +34,19 @@
   void OnRequest(const exchange_ptr& aExchange) override;
 
 private:
+  /** A query of a workspace that was admitted; over if it has been answered. */
+  struct admitted_query
+  {
+    std::string mWorkspace;
+    std::weak_ptr<exchange> mExchange;
+  };
+
+  /** Whether there is room for a query, the last one in progress. */
+  bool HasRoom(const std::string& aWorkspace, std::size_t aInProgress);
+
   request_dispatcher& mDispatcher;
   std::function<std::size_t()> mInProgress;
+  std::vector<admitted_query> mAdmitted;
 };
 
 } // namespace monsooncroft::gateway
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -550,6 +550,49 @@
   EXPECT_EQ(received.size(), 2U);
 }
 
+/** Queries of one workspace took all room of a root, so that those of the
+ * others were refused. */
+TEST_F(root_test, OneWorkspaceDoesNotTakeAllRoomOfARoot)
+{
+  for (const auto& leaf : mLeaves) {
+    leaf->mOnRequest = [](auto& /*aConnection*/, const auto& /*aRequest*/) {};
+  }
+  mStore.mContent.mRoutes.front().mPublic = false;
+  mStore.mContent.mWorkspaces = { { "acme", { "k" }, {}, 0, 0, {} },
+                                  { "bolt", { "l" }, {}, 0, 0, {} } };
+  mRootStore.mContent = mStore.mContent;
+  StartBoth();
+  std::vector<std::unique_ptr<http_channel>> channels;
+  std::map<std::string, int> accepted;
+  const auto hand = [&](const std::string& aWorkspace) {
+    channels.push_back(
+      std::make_unique<http_channel>(mLoop, mRootSettings.mRelayAddress));
+    channels.back()->Call(
+      "GET /all/x HTTP/1.1\r\nHost: h\r\nX-Id: q\r\nRelay-Config: 1\r\n"
+      "Relay-Answer-Within: 900000\r\nRelay-Workspace: " +
+        aWorkspace + "\r\n\r\n",
+      seconds(3),
+      [](const std::optional<http_message>& /*aAnswer*/) {},
+      [&accepted, aWorkspace] { ++accepted[aWorkspace]; });
+  };
+  for (int query = 0; query < 30; ++query) {
+    hand("acme");
+  }
+  RunFor(milliseconds(200));
+  for (int query = 0; query < 3; ++query) {
+    hand("bolt");
+  }
+  RunFor(milliseconds(200));
+  EXPECT_EQ(accepted["acme"], 16);
+  EXPECT_EQ(accepted["bolt"], 3);
+  channels.clear(); // The callers leave.
+  RunFor(milliseconds(100));
+  accepted.clear();
+  hand("acme");
+  RunFor(milliseconds(100));
+  EXPECT_EQ(accepted["acme"], 1);
+}
+
 /** A query is executed with the configuration of the instance that received it,
  * which may not have the newest one yet. */
 TEST_F(root_test, AQueryIsExecutedWithTheConfigurationOfItsReceiver)
