Instances send each other the configuration without keys in clear text

Instances pull the text of the configuration from peers; with workspaces it contained all keys.

An instance that has read the configuration from the store replaces each key by a 16-byte digest (crypto_generichash without a key, so that all instances agree on it) in what it sends to peers: `api_key_digests` in place of `api_keys`. The lookup hashes a caller's key the same way and looks for the digest under the process's own key, as before. Malformed entries stay malformed in the same way and quote no key. Texts without workspaces are sent unchanged, byte for byte.

Tests: HideKeys.AnotherInstanceGetsTheSameWorkspacesWithoutKeys (25 lists of sound and malformed entries), workspace_key_test.PeersGetTheConfigurationWithoutKeys, WorkspaceKeys.AKeyIsFoundByItsDigestAndADigestIsNoKey.

--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -147,7 +147,7 @@
   void ReadConfig(bool aMayBeStale);
   void WatchConfig();
   void PullSnapshot(const serving::fleet_member& aFrom);
-  bool AdoptConfig(const config_text& aText, const char* aSource);
+  bool AdoptConfig(const config_text& aText, std::string_view aSource);
   /** Logs the malformed entries of the configuration in force. */
   void LogProblems() const;
   void OnSnapshot(const std::string& aBytes, const std::string& aFrom);
@@ -183,7 +183,7 @@
   ops::metrics& mMetrics;
   serving::leaf_directory mDirectory;
   serving::routing_config_ptr mConfig;
-  config_text mConfigText;
+  config_text mConfigText; ///< Sent to peers, without keys.
   call_state mDirectoryCall;
   call_state mConfigCall;
   call_state mConfigWatchCall;
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -17,6 +17,8 @@
 
 /** Malformed entries of a version that are logged. */
 constexpr std::size_t kMaxLoggedProblems = 16;
+/** Source of a configuration that another instance sent. */
+constexpr std::string_view kFromPeer = "peer";
 
 } // namespace
 
@@ -150,7 +152,8 @@
   }
   mPullCall.mRetryDelay = model::duration(0);
   if (!snapshot->mConfigText.empty()) {
-    AdoptConfig({ snapshot->mConfigRevision, snapshot->mConfigText }, "peer");
+    AdoptConfig({ snapshot->mConfigRevision, snapshot->mConfigText },
+                kFromPeer);
   }
   std::optional<model::instant> completeAt;
   if (snapshot->mCompleteAgeMs) {
@@ -167,7 +170,7 @@
 }
 
 bool
-control_plane::AdoptConfig(const config_text& aText, const char* aSource)
+control_plane::AdoptConfig(const config_text& aText, std::string_view aSource)
 {
   if (mConfig && aText.mRevision == mConfigText.mRevision) {
     return false; // Not decoded again.
@@ -186,6 +189,9 @@
   }
   mConfig = serving::routing_config::Create(std::move(content));
   mConfigText = aText;
+  if (mConfig->UsesWorkspaces() && aSource != kFromPeer) {
+    mConfigText.mText = mStore.HideKeys(aText.mText);
+  }
   mConfigWatchRevision = std::max(mConfigWatchRevision, aText.mRevision);
   mFleet.SetConfigVersion(mConfig->Version());
   mLog.Write(
--- a/src/gateway/control_store_base.h
+++ b/src/gateway/control_store_base.h
@@ -81,6 +81,9 @@
   /** Decodes a configuration; returns an error message if it is invalid. */
   virtual std::variant<serving::routing_config::content, std::string>
   DecodeConfig(const std::string& aText) const = 0;
+  /** Text of the same configuration for other instances: API keys are replaced
+   * by workspace_keys::SharedDigestOf(). */
+  virtual std::string HideKeys(const std::string& aText) const { return aText; }
 };
 
 } // namespace monsooncroft::gateway
--- a/src/serving/routing_config.cpp
+++ b/src/serving/routing_config.cpp
@@ -82,9 +82,13 @@
 {
   for (workspace& each : mContent.mWorkspaces) {
     for (const std::string& key : each.mApiKeys) {
-      mKeys.Add(key, each);
+      mKeys.Add(workspace_keys::SharedDigestOf(key), each);
+    }
+    for (const std::string& digest : each.mKeyDigests) {
+      mKeys.Add(digest, each);
     }
     each.mApiKeys.clear();
+    each.mKeyDigests.clear();
     mWorkspacesByName.emplace(each.mName, &each);
   }
 }
--- a/src/serving/workspace_keys.cpp
+++ b/src/serving/workspace_keys.cpp
@@ -32,6 +32,27 @@
   return kKey;
 }
 
+/** @param aKey Key of the hash; null for none. */
+workspace_keys::digest
+Hash(std::string_view aText, const unsigned char* aKey, std::size_t aKeyBytes)
+{
+  workspace_keys::digest out{};
+  crypto_generichash(out.data(),
+                     out.size(),
+                     reinterpret_cast<const unsigned char*>(aText.data()),
+                     aText.size(),
+                     aKey,
+                     aKeyBytes);
+  return out;
+}
+
+workspace_keys::digest
+DigestOfShared(std::string_view aSharedDigest)
+{
+  const hash_key& key = ProcessKey();
+  return Hash(aSharedDigest, key.data(), key.size());
+}
+
 } // namespace
 
 std::size_t
@@ -43,25 +64,26 @@
   return hash;
 }
 
+std::string
+workspace_keys::SharedDigestOf(std::string_view aKey)
+{
+  const auto shared = Hash(aKey, nullptr, 0);
+  std::array<char, 2 * kDigestBytes + 1> text{};
+  sodium_bin2hex(text.data(), text.size(), shared.data(), shared.size());
+  return text.data();
+}
+
 workspace_keys::digest
 workspace_keys::DigestOf(std::string_view aKey)
 {
-  const hash_key& key = ProcessKey();
-  digest out{};
-  crypto_generichash(out.data(),
-                     out.size(),
-                     reinterpret_cast<const unsigned char*>(aKey.data()),
-                     aKey.size(),
-                     key.data(),
-                     key.size());
-  return out;
+  return DigestOfShared(SharedDigestOf(aKey));
 }
 
 void
-workspace_keys::Add(std::string_view aKey, const workspace& aWorkspace)
+workspace_keys::Add(std::string_view aSharedDigest, const workspace& aWorkspace)
 {
   const auto [position, added] =
-    mWorkspaces.try_emplace(DigestOf(aKey), &aWorkspace);
+    mWorkspaces.try_emplace(DigestOfShared(aSharedDigest), &aWorkspace);
   if (!added && position->second != &aWorkspace) {
     position->second = nullptr;
   }
--- a/src/serving/workspace_keys_base.h
+++ b/src/serving/workspace_keys_base.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstddef>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 
@@ -31,12 +32,19 @@
     std::size_t operator()(const digest& aDigest) const;
   };
 
+  /**
+   * Digest of an API key that all instances agree on, in hexadecimal digits.
+   * Instances send each other these in place of the keys, which are too long to
+   * be found by trial.
+   */
+  static std::string SharedDigestOf(std::string_view aKey);
   /** Digest of an API key; the same for all objects of the process. */
   static digest DigestOf(std::string_view aKey);
 
-  /** Adds a key. A key of two workspaces is accepted for neither.
+  /** Adds a key by its shared digest. A key of two workspaces is accepted for
+   * neither.
    * @param aWorkspace Must outlive this object. */
-  void Add(std::string_view aKey, const workspace& aWorkspace);
+  void Add(std::string_view aSharedDigest, const workspace& aWorkspace);
   /** @return Null for an unknown key. */
   const workspace* Find(std::string_view aKey) const;
 
--- a/src/serving/workspace_type.h
+++ b/src/serving/workspace_type.h
@@ -16,6 +16,9 @@
 {
   std::string mName;
   std::vector<std::string> mApiKeys;
+  /** Keys of which only workspace_keys::SharedDigestOf() is known, since the
+   * configuration came from another instance. */
+  std::vector<std::string> mKeyDigests;
   /** Takes precedence over the route's priority; 0 is served first. */
   std::optional<int> mPriority;
   /** Quota of all instances together, in requests; 0: no limit. */
--- a/test/adapter/decode_workspaces_test.cpp
+++ b/test/adapter/decode_workspaces_test.cpp
@@ -3,6 +3,7 @@
  * Tests decoding of workspaces, and of what malformed entries leave usable.
  */
 #include "decode.h"
+#include "decode_workspaces.h"
 
 #include <gtest/gtest.h>
 
@@ -13,17 +14,28 @@
 
 using content = serving::routing_config::content;
 
+std::string
+Text(const std::string& aTenants, const std::string& aRouteFields)
+{
+  return R"({"version":1,"services":[],"routes":[{"name":"r","host":"h","prefix":"/","timeout_ms":1,"service":"s")" +
+         aRouteFields + "}]" + aTenants + "}";
+}
+
 content
-Decode(const std::string& aTenants, const std::string& aRouteFields = "")
+DecodeText(const std::string& aText)
 {
-  const auto decoded = DecodeConfig(
-    R"({"version":1,"services":[],"routes":[{"name":"r","host":"h","prefix":"/","timeout_ms":1,"service":"s")" +
-    aRouteFields + "}]" + aTenants + "}");
+  const auto decoded = DecodeConfig(aText);
   const auto* out = std::get_if<content>(&decoded);
-  EXPECT_NE(out, nullptr) << aTenants;
+  EXPECT_NE(out, nullptr) << aText;
   return out == nullptr ? content{} : *out;
 }
 
+content
+Decode(const std::string& aTenants, const std::string& aRouteFields = "")
+{
+  return DecodeText(Text(aTenants, aRouteFields));
+}
+
 content
 DecodeTenants(const std::string& aEntries)
 {
@@ -87,36 +99,37 @@
     serving::routing_config::Create(DecodeTenants(""))->UsesWorkspaces());
 }
 
+const std::vector<std::string> kMalformedEntries{
+  "7",
+  R"("bad-key")",
+  "null",
+  R"(["bad-key"])",
+  R"({"api_keys":["bad-key"]})",
+  R"({"name":"","api_keys":["bad-key"]})",
+  R"({"name":7,"api_keys":["bad-key"]})",
+  R"({"name":"x\r\nX-Id: 1","api_keys":["bad-key"]})",
+  R"({"name":" x","api_keys":["bad-key"]})",
+  R"({"name":"x","api_keys":"bad-key"})",
+  R"({"name":"x","api_keys":{"bad-key":1}})",
+  R"({"name":"x","api_keys":["bad-key",7]})",
+  R"({"name":"x","api_keys":["bad-key",""]})",
+  R"({"name":"x","api_keys":["bad-key"],"priority":"high"})",
+  R"({"name":"x","api_keys":["bad-key"],"priority":1.5})",
+  R"({"name":"x","api_keys":["bad-key"],"priority":4294967296})",
+  R"({"name":"x","api_keys":["bad-key"],"priority":18446744073709551615})",
+  R"({"name":"x","api_keys":["bad-key"],"rate_per_s":"2"})",
+  R"({"name":"x","api_keys":["bad-key"],"rate_per_s":-1})",
+  R"({"name":"x","api_keys":["bad-key"],"burst":[]})",
+  R"({"name":"x","api_keys":["bad-key"],"homes":"eu"})"
+};
+
 /** One malformed entry made the whole configuration unreadable, or its keys
  * were accepted; or its problem quoted a key. */
 TEST(DecodeWorkspaces, AMalformedEntryHidesNoOtherAndItsKeysAreRefused)
 {
   const std::string sound = R"({"name":"sound","api_keys":["good"]})";
-  for (
-    const char* malformed : {
-      "7",
-      R"("bad-key")",
-      "null",
-      R"(["bad-key"])",
-      R"({"api_keys":["bad-key"]})",
-      R"({"name":"","api_keys":["bad-key"]})",
-      R"({"name":7,"api_keys":["bad-key"]})",
-      R"({"name":"x\r\nX-Id: 1","api_keys":["bad-key"]})",
-      R"({"name":" x","api_keys":["bad-key"]})",
-      R"({"name":"x","api_keys":"bad-key"})",
-      R"({"name":"x","api_keys":{"bad-key":1}})",
-      R"({"name":"x","api_keys":["bad-key",7]})",
-      R"({"name":"x","api_keys":["bad-key",""]})",
-      R"({"name":"x","api_keys":["bad-key"],"priority":"high"})",
-      R"({"name":"x","api_keys":["bad-key"],"priority":1.5})",
-      R"({"name":"x","api_keys":["bad-key"],"priority":4294967296})",
-      R"({"name":"x","api_keys":["bad-key"],"priority":18446744073709551615})",
-      R"({"name":"x","api_keys":["bad-key"],"rate_per_s":"2"})",
-      R"({"name":"x","api_keys":["bad-key"],"rate_per_s":-1})",
-      R"({"name":"x","api_keys":["bad-key"],"burst":[]})",
-      R"({"name":"x","api_keys":["bad-key"],"homes":"eu"})",
-    }) {
-    const content decoded = DecodeTenants(std::string(malformed) + "," + sound);
+  for (const std::string& malformed : kMalformedEntries) {
+    const content decoded = DecodeTenants(malformed + "," + sound);
     EXPECT_EQ(AcceptedKeys(decoded, { "bad-key", "good" }),
               std::vector<std::string>{ "good" })
       << malformed;
@@ -165,6 +178,47 @@
   EXPECT_EQ(decoded.mProblems.size(), 4U);
 }
 
+/** Keys in clear text reached all instances that pulled the configuration from
+ * a peer. */
+TEST(HideKeys, AnotherInstanceGetsTheSameWorkspacesWithoutKeys)
+{
+  const std::string sound =
+    R"({"name":"sound","api_keys":["good","more"],"priority":3,"burst":2.5})";
+  std::vector<std::string> lists{
+    sound +
+      R"(,{"name":"a","api_keys":["bad-key"]},{"name":"b","api_keys":["bad-key"]})",
+    sound + R"(,{"name":"a","api_keys":["bad-key"]},{"name":"a"})",
+    sound + R"(,{"name":"a"},{"name":"b","api_keys":null})"
+  };
+  for (const std::string& malformed : kMalformedEntries) {
+    lists.push_back(malformed + "," + sound);
+  }
+  for (const std::string& list : lists) {
+    const std::string text = Text(R"(,"tenants":[)" + list + "]", "");
+    const std::string hidden = HideKeys(text);
+    EXPECT_EQ(hidden.find("good"), std::string::npos) << hidden;
+    EXPECT_EQ(hidden.find("bad-key"), std::string::npos) << hidden;
+    EXPECT_EQ(HideKeys(hidden), hidden);
+    const content here = DecodeText(text);
+    const content there = DecodeText(hidden);
+    const std::vector<std::string> keys{ "good", "more", "bad-key" };
+    EXPECT_EQ(AcceptedKeys(there, keys), AcceptedKeys(here, keys)) << list;
+    EXPECT_EQ(there.mProblems, here.mProblems) << list;
+    EXPECT_EQ(there.mWorkspaces.size(), here.mWorkspaces.size()) << list;
+    EXPECT_EQ(there.mRoutes, here.mRoutes);
+  }
+  for (const char* tenants : { "",
+                               R"(,"tenants":null)",
+                               R"(,"tenants":[])",
+                               R"(,"tenants":{"bad-key":1})",
+                               R"(,"tenants":"bad-key")" }) {
+    const std::string text = Text(tenants, "");
+    const std::string hidden = HideKeys(text);
+    EXPECT_EQ(hidden.find("bad-key"), std::string::npos) << hidden;
+    EXPECT_EQ(DecodeText(hidden), DecodeText(text)) << tenants;
+  }
+}
+
 /** The parser's message quotes the text at which it failed. */
 TEST(DecodeWorkspaces, AMessageAboutMalformedTextDoesNotQuoteIt)
 {
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -59,6 +59,10 @@
   {
     return mContent;
   }
+  std::string HideKeys(const std::string& aText) const override
+  {
+    return "hidden " + aText;
+  }
   /** Publishes a new version of the configuration through the pending watch. */
   void PublishConfig(serving::routing_config::content aContent)
   {
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -514,7 +514,7 @@
   mSettings.mHeaderNames.mWorkspace = "X-Workspace";
   mRootSettings.mHeaderNames.mWorkspace = "X-Workspace";
   mStore.mContent.mRoutes.front().mPublic = false;
-  mStore.mContent.mWorkspaces = { { "acme", { "k" }, {}, 0, 0, {} } };
+  mStore.mContent.mWorkspaces = { { "acme", { "k" }, {}, {}, 0, 0, {} } };
   mRootStore.mContent = mStore.mContent;
   StartBoth();
   const std::string forged = "X-Workspace: other\r\nX-Workspace : other\r\n"
@@ -558,8 +558,8 @@
     leaf->mOnRequest = [](auto& /*aConnection*/, const auto& /*aRequest*/) {};
   }
   mStore.mContent.mRoutes.front().mPublic = false;
-  mStore.mContent.mWorkspaces = { { "acme", { "k" }, {}, 0, 0, {} },
-                                  { "bolt", { "l" }, {}, 0, 0, {} } };
+  mStore.mContent.mWorkspaces = { { "acme", { "k" }, {}, {}, 0, 0, {} },
+                                  { "bolt", { "l" }, {}, {}, 0, 0, {} } };
   mRootStore.mContent = mStore.mContent;
   StartBoth();
   std::vector<std::unique_ptr<http_channel>> channels;
--- a/test/gateway/workspace_fixture.h
+++ b/test/gateway/workspace_fixture.h
@@ -65,8 +65,8 @@
     mStore.mContent.mRoutes.back().mPublic = false;
     mStore.mContent.mRoutes.push_back(open);
     mStore.mContent.mWorkspaces = {
-      { "acme", { "key-1", "key-2" }, 1, 0, 0, {} },
-      { "bolt", { "key-3" }, {}, 5, 10, {} }
+      { "acme", { "key-1", "key-2" }, {}, 1, 0, 0, {} },
+      { "bolt", { "key-3" }, {}, {}, 5, 10, {} }
     };
   }
 
--- a/test/gateway/workspace_key_test.cpp
+++ b/test/gateway/workspace_key_test.cpp
@@ -3,6 +3,8 @@
  * Keys of callers' requests, known, unknown and new.
  */
 #include "gateway/bearer_key_func.h"
+#include "gateway/peer_socket_base.h"
+#include "serving/fleet_codec_func.h"
 #include "workspace_fixture.h"
 
 namespace monsooncroft::gateway {
@@ -175,6 +177,33 @@
   EXPECT_FALSE(mAnswer);
 }
 
+/** Peers that pull the configuration got the keys in clear text. */
+TEST_F(workspace_key_test, PeersGetTheConfigurationWithoutKeys)
+{
+  for (const bool usesWorkspaces : { true, false }) {
+    if (!usesWorkspaces) {
+      Change([](auto& aContent) { aContent.mWorkspaces.clear(); });
+    }
+    Start();
+    std::string pulled;
+    peer_socket peer(
+      mLoop,
+      { "127.0.0.1", 0 },
+      [](std::string_view, const model::endpoint&) {},
+      [](std::string_view) { return std::nullopt; },
+      mLog);
+    peer.PullSnapshot(mSettings.mPeerAddress,
+                      serving::EncodeSnapshotRequest({}),
+                      [&](std::string aBytes) { pulled = std::move(aBytes); });
+    RunFor(milliseconds(100));
+    const auto snapshot = serving::DecodeSnapshot(pulled);
+    ASSERT_TRUE(snapshot);
+    EXPECT_EQ(snapshot->mConfigText, usesWorkspaces ? "hidden 1" : "2");
+    mInstance.reset();
+    RunFor(milliseconds(20));
+  }
+}
+
 /** Guards against keys in what operators and collectors of logs see. */
 TEST_F(workspace_key_test, NoKeyIsLoggedOrExposed)
 {
--- a/test/gateway/workspace_order_test.cpp
+++ b/test/gateway/workspace_order_test.cpp
@@ -52,9 +52,9 @@
 TEST_F(workspace_order_test, RanksGoFirstAndWorkspacesTakeTurns)
 {
   mStore.mContent.mRoutes.front().mPriority = 2;
-  mStore.mContent.mWorkspaces = { { "urgent", { "u" }, 1, 0, 0, {} },
-                                  { "a", { "a" }, {}, 0, 0, {} },
-                                  { "b", { "b" }, {}, 0, 0, {} } };
+  mStore.mContent.mWorkspaces = { { "urgent", { "u" }, {}, 1, 0, 0, {} },
+                                  { "a", { "a" }, {}, {}, 0, 0, {} },
+                                  { "b", { "b" }, {}, {}, 0, 0, {} } };
   Start();
   SendAll({ { "first", "a" },
             { "a1", "a" },
--- a/test/gateway/workspace_quota_test.cpp
+++ b/test/gateway/workspace_quota_test.cpp
@@ -112,8 +112,8 @@
   SendHeld(900);
   auto changed = mStore.mContent;
   changed.mVersion = 2;
-  changed.mWorkspaces = { { "acme", { "key-1" }, {}, 0, 0, {} },
-                          { "core", { "key-3" }, {}, 5, 1, {} } };
+  changed.mWorkspaces = { { "acme", { "key-1" }, {}, {}, 0, 0, {} },
+                          { "core", { "key-3" }, {}, {}, 5, 1, {} } };
   mStore.PublishConfig(changed);
   mAdmission.Decide({});
   RunFor(milliseconds(80)); // The watch starts again.
--- a/test/serving/workspace_keys_test.cpp
+++ b/test/serving/workspace_keys_test.cpp
@@ -12,8 +12,8 @@
 TEST(WorkspaceKeys, FindsTheWorkspaceOfEachKey)
 {
   routing_config::content content;
-  content.mWorkspaces.push_back({ "a", { "k1", "k2" }, {}, 0, 0, {} });
-  content.mWorkspaces.push_back({ "b", { "k3" }, {}, 0, 0, {} });
+  content.mWorkspaces.push_back({ "a", { "k1", "k2" }, {}, {}, 0, 0, {} });
+  content.mWorkspaces.push_back({ "b", { "k3" }, {}, {}, 0, 0, {} });
   const auto config = routing_config::Create(content);
   ASSERT_NE(config->FindWorkspace("k2"), nullptr);
   EXPECT_EQ(config->FindWorkspace("k1")->mName, "a");
@@ -30,7 +30,7 @@
 TEST(WorkspaceKeys, TheConfigurationKeepsNoKeyInClearText)
 {
   routing_config::content content;
-  content.mWorkspaces.push_back({ "a", { "k1" }, {}, 0, 0, {} });
+  content.mWorkspaces.push_back({ "a", { "k1" }, {}, {}, 0, 0, {} });
   const auto config = routing_config::Create(content);
   ASSERT_EQ(config->Workspaces().size(), 1U);
   EXPECT_TRUE(config->Workspaces()[0].mApiKeys.empty());
@@ -38,16 +38,29 @@
 
 TEST(WorkspaceKeys, AKeyOfTwoWorkspacesFindsNeither)
 {
-  const workspace one{ "a", {}, {}, 0, 0, {} };
-  const workspace other{ "b", {}, {}, 0, 0, {} };
+  const workspace one{ "a", {}, {}, {}, 0, 0, {} };
+  const workspace other{ "b", {}, {}, {}, 0, 0, {} };
+  const std::string digest = workspace_keys::SharedDigestOf("k");
   workspace_keys keys;
-  keys.Add("k", one);
-  keys.Add("k", one);
+  keys.Add(digest, one);
+  keys.Add(digest, one);
   EXPECT_EQ(keys.Find("k"), &one);
-  keys.Add("k", other);
+  keys.Add(digest, other);
   EXPECT_EQ(keys.Find("k"), nullptr);
 }
 
+/** Instances send each other digests in place of keys. */
+TEST(WorkspaceKeys, AKeyIsFoundByItsDigestAndADigestIsNoKey)
+{
+  const std::string digest = workspace_keys::SharedDigestOf("k");
+  EXPECT_EQ(digest.size(), 2 * workspace_keys::kDigestBytes);
+  routing_config::content content;
+  content.mWorkspaces.push_back({ "a", {}, { digest }, {}, 0, 0, {} });
+  const auto config = routing_config::Create(content);
+  ASSERT_NE(config->FindWorkspace("k"), nullptr);
+  EXPECT_EQ(config->FindWorkspace(digest), nullptr);
+}
+
 TEST(WorkspaceKeys, DigestsDifferAndAreStable)
 {
   EXPECT_EQ(workspace_keys::DigestOf("k"), workspace_keys::DigestOf("k"));
