--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -4,6 +4,7 @@
  */
 #include "gateway/request_dispatcher_base.h"
 
+#include "gateway/event_loop_base.h"
 #include "gateway/query_execution_base.h"
 #include "gateway/relay_client_base.h"
 #include "gateway/relay_fields_type.h"
@@ -209,9 +210,10 @@
   if (aPlan.mWorkspace != nullptr) {
     CountRequest(mContext.mMetrics, aPlan.mWorkspace->mName);
   }
-  if (aPlan.mRoute->IsFanOut() && mUsesRelay &&
-      mContext.mRelay.HasRoot(aExchange->ReceivedAt())) {
-    Relay(aExchange, aPlan);
+  // Not the time of receipt: the request may have waited.
+  const model::instant now = event_loop::Now();
+  if (aPlan.mRoute->IsFanOut() && mUsesRelay && mContext.mRelay.HasRoot(now)) {
+    Relay(aExchange, aPlan, now);
   } else {
     Execute(aExchange, std::move(aPlan));
   }
@@ -243,7 +245,8 @@
 
 void
 request_dispatcher::Relay(const exchange_ptr& aExchange,
-                          const query_plan& aPlan)
+                          const query_plan& aPlan,
+                          model::instant aNow)
 {
   relayed_query query;
   query.mExchange = aExchange;
@@ -262,7 +265,7 @@
       plan.mIsResent = aMayHaveRun;
       Execute(aExchange, std::move(plan));
     },
-    aExchange->ReceivedAt());
+    aNow);
 }
 
 serving::routing_config_ptr
--- a/src/gateway/request_dispatcher_base.h
+++ b/src/gateway/request_dispatcher_base.h
@@ -116,7 +116,9 @@
   serving::routing_config_ptr ConfigOfVersion(std::uint64_t aVersion) const;
   /** Executes the request here, or hands it to a root. */
   void Start(const exchange_ptr& aExchange, query_plan aPlan);
-  void Relay(const exchange_ptr& aExchange, const query_plan& aPlan);
+  void Relay(const exchange_ptr& aExchange,
+             const query_plan& aPlan,
+             model::instant aNow);
   void Execute(const exchange_ptr& aExchange, query_plan aPlan);
   void Refuse(const exchange_ptr& aExchange, const refusal& aRefusal) const;
   /** A request's target for the log, without what may hold a key. */
--- a/test/gateway/workspace_quota_test.cpp
+++ b/test/gateway/workspace_quota_test.cpp
@@ -67,6 +67,30 @@
             std::string::npos);
 }
 
+/** Guards against refusals that an operator cannot attribute to a workspace. */
+TEST_F(workspace_quota_test, RequestsAndRefusalsAreCountedByWorkspace)
+{
+  StartWithQuotas();
+  Send("key-3");
+  Send("key-3");
+  mLeaves.front()->mOnRequest = [](auto& aConnection, const auto& aRequest) {
+    aConnection.Write("HTTP/1.1 503 Full\r\nX-Id: " + *aRequest.Find("X-Id") +
+                      "\r\nX-Not: 1\r\nContent-Length: 0\r\n\r\n");
+  };
+  EXPECT_EQ(Send("key-1").mStatus, 503);
+  const std::string metrics = mMetrics.Exposition();
+  const auto contains = [&](const std::string& aLine) {
+    return metrics.find("monsooncroft_workspace_" + aLine + "\n") !=
+           std::string::npos;
+  };
+  EXPECT_TRUE(contains("requests_total{workspace=\"bolt\"} 2")) << metrics;
+  EXPECT_TRUE(contains("requests_total{workspace=\"acme\"} 1")) << metrics;
+  EXPECT_TRUE(contains("refusals_total{reason=\"refused by the leaf\","
+                       "workspace=\"acme\"} 1"))
+    << metrics;
+  EXPECT_NE(ReadLog().find("\"workspace\":\"acme\""), std::string::npos);
+}
+
 TEST_F(workspace_quota_test, ADecisionMayComeLater)
 {
   StartWithQuotas();
