--- a/src/serving/unknown_key_policy.cpp
+++ b/src/serving/unknown_key_policy.cpp
@@ -15,8 +15,9 @@
 constexpr std::chrono::milliseconds kMaxWait{ 250 };
 /** A request waits for at most this fraction of the caller's time. */
 constexpr int kMaxWaitDivisor = 3;
-/** Requests that may wait at a time. */
-constexpr std::size_t kMaxWaiting = 256;
+/** Requests that may wait at a time: with the largest bodies they hold 16 MiB.
+ * An instance gets a few requests with new keys in that time. */
+constexpr std::size_t kMaxWaiting = 64;
 /** Shortest time between two reads of the store. */
 constexpr std::chrono::seconds kReadPeriod{ 2 };
 /** The same for keys that the newest configuration did not contain before: with
