A frozen instance confirms its configuration before it accepts keys again

The boot clock shows only suspended machines; a second without a tick shows both.

Change: after such a gap requests with known keys wait for one read of the store, for 250 ms at most, so that an instance that is cut off goes on with what it knows. A read that began before the gap confirms nothing.

Failed before: workspace_key_test.AFrozenInstanceChecksItsConfigurationWhenItWakes (200 in place of 401).

--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -153,6 +153,7 @@
   , mTickTimer(aLoop, [this] { OnTick(); })
   , mStartedAt(event_loop::Now())
   , mNextGossipRound(mStartedAt)
+  , mLastTickAt(mStartedAt)
   , mBootOffset(BootOffset(mStartedAt))
 {
   mLog.Write(ops::log_level::Info,
@@ -241,6 +242,7 @@
 {
   mTickTimer.Start(kTickPeriod);
   const model::instant now = event_loop::Now();
+  CheckTickGap(now);
   CheckSuspension(now);
   mControlPlane.OnTick(now);
   mCallerServer.OnTick(now);
@@ -333,6 +335,7 @@
       "suspended",
       { { "ms",
           static_cast<double>((offset - mBootOffset).count()) / 1000.0 } });
+    mDispatcher.OnResume(aNow);
     mControlPlane.OnResume(aNow);
   }
   mBootOffset = offset;
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -102,6 +102,8 @@
   void AdvanceStop(model::instant aNow);
   control_plane::hooks MakeHooks();
   void AddWorkspaceHooks(control_plane::hooks& aHooks);
+  /** Tells the dispatcher if this process has not run for a while. */
+  void CheckTickGap(model::instant aNow);
   /** Lets the dispatcher ask the store for the newest configuration. */
   void ConnectWorkspaces();
 
@@ -133,6 +135,7 @@
   std::vector<std::string> mPendingUnreachable;
   model::instant mStartedAt;
   model::instant mNextGossipRound;
+  model::instant mLastTickAt;
   model::instant mNextMalformedFieldLog;
   std::optional<stop_sequence> mStop;
   bool mReady = false;
--- a/src/gateway/request_dispatcher_base.h
+++ b/src/gateway/request_dispatcher_base.h
@@ -49,6 +49,10 @@
   }
   /** The store had no newer configuration at that time. */
   void OnConfigConfirmed(model::instant aAt);
+  /** The process or its machine was suspended: keys may have been withdrawn
+   * since. Requests with known keys wait, as others do, until the configuration
+   * has been confirmed. */
+  void OnResume(model::instant aNow);
   /** Sets the quotas of workspaces; null: requests are not charged. */
   void SetAdmission(workspace_admission* aAdmission)
   {
@@ -141,6 +145,9 @@
   std::function<bool()> mReadConfig;
   serving::unknown_key_policy mUnknownKeys;
   key_wait_list mKeyWaits;
+  /** End of a suspension after which the configuration has not been confirmed.
+   */
+  std::optional<model::instant> mResumedAt;
   bool mUsesRelay = false;
   std::unordered_map<std::string, std::shared_ptr<serving::route_latency>>
     mLatencies; ///< By name of the route.
--- a/src/gateway/request_dispatcher_workspace.cpp
+++ b/src/gateway/request_dispatcher_workspace.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/** Longest wait of requests with known keys after a suspension, for one read of
+ * the store; an instance that is cut off from it goes on with what it knows. */
+constexpr std::chrono::milliseconds kMaxUncertainty{ 250 };
 constexpr const char* kNoDecision = "no decision on the quota in time";
 
 } // namespace
@@ -26,15 +29,20 @@
   const auto key = BearerKey(aExchange->Request());
   const serving::workspace* workspace =
     key ? mConfig->FindWorkspace(*key) : nullptr;
+  const model::instant now = event_loop::Now();
   if (workspace != nullptr) {
-    return workspace;
+    if (aProgress.mKeyWaitEnd || !mResumedAt ||
+        now >= *mResumedAt + kMaxUncertainty) {
+      return workspace;
+    }
+    mKeyWaits.Add(aExchange, *mResumedAt + kMaxUncertainty, now);
+    return nullptr;
   }
   // Without a key there is nothing that a newer configuration may contain.
   if (!key || !mConfigCurrent) {
     RefuseKey(aExchange);
     return nullptr;
   }
-  const model::instant now = event_loop::Now();
   const auto digest = serving::workspace_keys::DigestOf(*key);
   serving::unknown_key_policy::decision decision;
   if (aProgress.mKeyWaitEnd) {
@@ -69,9 +77,22 @@
 request_dispatcher::OnConfigConfirmed(model::instant aAt)
 {
   mUnknownKeys.OnConfirmed(aAt);
+  if (mResumedAt && aAt >= *mResumedAt) {
+    mResumedAt.reset();
+    mKeyWaits.ResumeAll();
+  }
   mKeyWaits.EndAddedUntil(aAt, event_loop::Now());
 }
 
+void
+request_dispatcher::OnResume(model::instant aNow)
+{
+  mResumedAt = aNow;
+  if (mConfig && mConfig->UsesWorkspaces() && mReadConfig) {
+    mReadConfig();
+  }
+}
+
 /** A request for which the decision on its quota is awaited. */
 struct request_dispatcher::quota_wait
 {
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -59,6 +59,14 @@
   {
     return mContent;
   }
+  /** Answers the held reads with the content of now. */
+  void AnswerHeldConfigReads()
+  {
+    mHoldsConfigReads = false;
+    for (const auto& done : std::exchange(mHeldConfigReads, {})) {
+      done(config_text{ mConfigRevision, std::to_string(mContent.mVersion) });
+    }
+  }
   std::string HideKeys(const std::string& aText) const override
   {
     return "hidden " + aText;
--- a/test/gateway/workspace_key_test.cpp
+++ b/test/gateway/workspace_key_test.cpp
@@ -7,6 +7,8 @@
 #include "serving/fleet_codec_func.h"
 #include "workspace_fixture.h"
 
+#include <thread>
+
 namespace monsooncroft::gateway {
 namespace {
 
@@ -177,6 +179,39 @@
   EXPECT_FALSE(mAnswer);
 }
 
+/** An instance that had been frozen accepted keys that were withdrawn
+ * meanwhile, until it had read the configuration again. */
+TEST_F(workspace_key_test, AFrozenInstanceChecksItsConfigurationWhenItWakes)
+{
+  Start();
+  for (const char* key : { "key-1", "key-2" }) {
+    mStore.mHoldsConfigReads = true;
+    std::this_thread::sleep_for(milliseconds(1'200));
+    SendInBackground(Key(key), 900);
+    RunFor(milliseconds(60));
+    EXPECT_FALSE(mAnswer) << key;
+    Change(
+      [](auto& aContent) { aContent.mWorkspaces[0].mApiKeys = { "key-2" }; });
+    mStore.AnswerHeldConfigReads();
+    RunFor(milliseconds(300));
+    ASSERT_TRUE(mAnswer) << key;
+    EXPECT_EQ(mAnswer->mStatus, key == std::string("key-1") ? 401 : 200);
+  }
+}
+
+/** One that is cut off goes on with the keys that it knows. */
+TEST_F(workspace_key_test, AFrozenInstanceWithoutTheStoreServesKnownKeys)
+{
+  Start();
+  mStore.mHoldsConfigReads = true;
+  std::this_thread::sleep_for(milliseconds(1'200));
+  const model::instant start = event_loop::Now();
+  EXPECT_EQ(Send("key-1").mStatus, 200);
+  EXPECT_LT(event_loop::Now() - start, milliseconds(600));
+  EXPECT_EQ(Send("key-1").mStatus, 200);
+  EXPECT_EQ(mReceived.size(), 2U);
+}
+
 /** Peers that pull the configuration got the keys in clear text. */
 TEST_F(workspace_key_test, PeersGetTheConfigurationWithoutKeys)
 {
