--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -39,6 +39,8 @@
   struct hooks
   {
     std::function<void(serving::routing_config_ptr)> mOnConfig;
+    /** The configuration in force was the store's newest at that time. */
+    std::function<void(model::instant)> mOnConfigConfirmed;
     std::function<void(const serving::leaf_directory::changes&)> mOnLeaves;
     std::function<void(const serving::leaf_suspicion&)> mOnSuspicion;
     std::function<void(const serving::leaf_observation&)> mOnObservation;
@@ -88,6 +90,9 @@
   void SetRelayPort(std::uint16_t aPort, model::instant aNow);
   const serving::routing_config_ptr& Config() const { return mConfig; }
   bool ConfigIsCurrent(model::instant aNow) const;
+  /** Reads the newest configuration from the store now.
+   * @return False if another read is in progress, or a retry is not yet due. */
+  bool ReadNewestConfig(model::instant aNow);
   /** Sends leaf observations to the roots of this data centre, which use the
    * same leaves. */
   void SendToRoots(std::vector<serving::leaf_observation> aObservations,
@@ -142,7 +147,9 @@
   void ReadConfig(bool aMayBeStale);
   void WatchConfig();
   void PullSnapshot(const serving::fleet_member& aFrom);
-  bool AdoptConfig(const config_text& aText, const char* aSource);
+  bool AdoptConfig(const config_text& aText, std::string_view aSource);
+  /** Logs the malformed entries of the configuration in force. */
+  void LogProblems() const;
   void OnSnapshot(const std::string& aBytes, const std::string& aFrom);
   void OnDatagram(std::string_view aBytes, const model::endpoint& aFrom);
   void ApplyLeaves();
@@ -176,7 +183,7 @@
   ops::metrics& mMetrics;
   serving::leaf_directory mDirectory;
   serving::routing_config_ptr mConfig;
-  config_text mConfigText;
+  config_text mConfigText; ///< Sent to peers, without keys.
   call_state mDirectoryCall;
   call_state mConfigCall;
   call_state mConfigWatchCall;
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -13,6 +13,15 @@
 
 namespace monsooncroft::gateway {
 
+namespace {
+
+/** Malformed entries of a version that are logged. */
+constexpr std::size_t kMaxLoggedProblems = 16;
+/** Source of a configuration that another instance sent. */
+constexpr std::string_view kFromPeer = "peer";
+
+} // namespace
+
 void
 control_plane::UpdateConfig(model::instant aNow)
 {
@@ -43,7 +52,9 @@
   mConfigCall.mBusy = true;
   mMetrics.Count("store_calls", { { "call", "config" } });
   mStore.ReadConfig(
-    aMayBeStale, [this](const store_result<config_text>& aResult) {
+    aMayBeStale,
+    [this, aMayBeStale, startedAt = event_loop::Now()](
+      const store_result<config_text>& aResult) {
       const auto* error = std::get_if<store_error>(&aResult);
       OnCallDone(mConfigCall,
                  "config",
@@ -57,10 +68,23 @@
         if (adopted && !isFirst) {
           SendToPeers(mFleet.PossiblyLiveMembers(event_loop::Now()), {});
         }
+        if (!aMayBeStale && mConfig && mHooks.mOnConfigConfirmed) {
+          mHooks.mOnConfigConfirmed(startedAt);
+        }
       }
     });
 }
 
+bool
+control_plane::ReadNewestConfig(model::instant aNow)
+{
+  if (mConfigCall.mBusy || aNow < mConfigCall.mNextCall) {
+    return false;
+  }
+  ReadConfig(false);
+  return true;
+}
+
 void
 control_plane::WatchConfig()
 {
@@ -128,7 +152,8 @@
   }
   mPullCall.mRetryDelay = model::duration(0);
   if (!snapshot->mConfigText.empty()) {
-    AdoptConfig({ snapshot->mConfigRevision, snapshot->mConfigText }, "peer");
+    AdoptConfig({ snapshot->mConfigRevision, snapshot->mConfigText },
+                kFromPeer);
   }
   std::optional<model::instant> completeAt;
   if (snapshot->mCompleteAgeMs) {
@@ -145,7 +170,7 @@
 }
 
 bool
-control_plane::AdoptConfig(const config_text& aText, const char* aSource)
+control_plane::AdoptConfig(const config_text& aText, std::string_view aSource)
 {
   if (mConfig && aText.mRevision == mConfigText.mRevision) {
     return false; // Not decoded again.
@@ -164,19 +189,45 @@
   }
   mConfig = serving::routing_config::Create(std::move(content));
   mConfigText = aText;
+  if (mConfig->UsesWorkspaces() && aSource != kFromPeer) {
+    mConfigText.mText = mStore.HideKeys(aText.mText);
+  }
   mConfigWatchRevision = std::max(mConfigWatchRevision, aText.mRevision);
   mFleet.SetConfigVersion(mConfig->Version());
-  mLog.Write(ops::log_level::Info,
-             "config_in_force",
-             { { "version", static_cast<long>(mConfig->Version()) },
-               { "before", static_cast<long>(currentVersion) },
-               { "revision", ToText(aText.mRevision) },
-               { "routes", static_cast<long>(mConfig->Routes().size()) },
-               { "source", std::string(aSource) } });
+  mLog.Write(
+    ops::log_level::Info,
+    "config_in_force",
+    { { "version", static_cast<long>(mConfig->Version()) },
+      { "before", static_cast<long>(currentVersion) },
+      { "revision", ToText(aText.mRevision) },
+      { "routes", static_cast<long>(mConfig->Routes().size()) },
+      { "workspaces", static_cast<long>(mConfig->Workspaces().size()) },
+      { "source", std::string(aSource) } });
+  LogProblems();
   mHooks.mOnConfig(mConfig);
   return true;
 }
 
+void
+control_plane::LogProblems() const
+{
+  const auto& problems = mConfig->Problems();
+  if (!problems.empty()) {
+    mMetrics.Count("config_entries_malformed",
+                   static_cast<long>(problems.size()));
+  }
+  for (std::size_t index = 0;
+       index < std::min(problems.size(), kMaxLoggedProblems);
+       ++index) {
+    mLog.Write(ops::log_level::Warning,
+               "config_entry_malformed",
+               { { "version", static_cast<long>(mConfig->Version()) },
+                 { "where", problems[index].mWhere },
+                 { "what", problems[index].mWhat },
+                 { "entries", static_cast<long>(problems.size()) } });
+  }
+}
+
 std::optional<std::string>
 control_plane::MakeSnapshot(std::string_view aRequest) const
 {
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -153,6 +153,7 @@
   , mTickTimer(aLoop, [this] { OnTick(); })
   , mStartedAt(event_loop::Now())
   , mNextGossipRound(mStartedAt)
+  , mLastTickAt(mStartedAt)
   , mBootOffset(BootOffset(mStartedAt))
 {
   mLog.Write(ops::log_level::Info,
@@ -161,6 +162,7 @@
                { "peers", mSettings.mPeerAddress.ToString() },
                { "data_centre", mSettings.mDataCentre },
                { "seeds", static_cast<long>(mSettings.mSeeds.size()) } });
+  ConnectWorkspaces();
   OnTick();
 }
 
@@ -231,6 +233,7 @@
   hooks.mSuspectedLeaves = [this] {
     return mLeaves.SuspectedLeaves(event_loop::Now());
   };
+  AddWorkspaceHooks(hooks);
   return hooks;
 }
 
@@ -239,6 +242,7 @@
 {
   mTickTimer.Start(kTickPeriod);
   const model::instant now = event_loop::Now();
+  CheckTickGap(now);
   CheckSuspension(now);
   mControlPlane.OnTick(now);
   mCallerServer.OnTick(now);
@@ -331,6 +335,7 @@
       "suspended",
       { { "ms",
           static_cast<double>((offset - mBootOffset).count()) / 1000.0 } });
+    mDispatcher.OnResume(aNow);
     mControlPlane.OnResume(aNow);
   }
   mBootOffset = offset;
--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -64,7 +64,10 @@
   mLeafRequest = MakeLeafRequest(mExchange->Request(),
                                  mContext.mHeaderNames,
                                  mPlan.mRequestId,
-                                 mPlan.mRoute->mRepeatability);
+                                 { mPlan.mRoute->mRepeatability,
+                                   request_receiver::Leaf,
+                                   mPlan.mConfig->UsesWorkspaces(),
+                                   mPlan.WorkspaceName() });
   const auto self = shared_from_this();
   // Weak: attempts own the execution, the caller's connection does not.
   mExchange->OnCallerLeft([weak = weak_from_this()] {
@@ -355,6 +358,7 @@
   attempt->mRequest = mLeafRequest;
   attempt->mObserver = shared_from_this();
   attempt->mShardIndex = aShardIndex;
+  attempt->mRank = mPlan.mRank;
   attempt->mAnswerBy = mRequirements.mPartialAnswerAt;
   attempt->mDeadline = mRequirements.mDeadline;
   attempt->mRouteMeanLatency = mPlan.mLatency->Mean();
--- a/src/serving/routing_config.cpp
+++ b/src/serving/routing_config.cpp
@@ -50,6 +50,7 @@
       AddShardGroup(each.mShards);
     }
   }
+  AddWorkspaces();
   SortUnique(mTargetServices);
   SortUnique(mShardServices);
   mRoutedServices = mTargetServices;
@@ -76,6 +77,29 @@
   }
 }
 
+void
+routing_config::AddWorkspaces()
+{
+  for (workspace& each : mContent.mWorkspaces) {
+    for (const std::string& key : each.mApiKeys) {
+      mKeys.Add(workspace_keys::SharedDigestOf(key), each);
+    }
+    for (const std::string& digest : each.mKeyDigests) {
+      mKeys.Add(digest, each);
+    }
+    each.mApiKeys.clear();
+    each.mKeyDigests.clear();
+    mWorkspacesByName.emplace(each.mName, &each);
+  }
+}
+
+const workspace*
+routing_config::WorkspaceNamed(const std::string& aName) const
+{
+  const auto found = mWorkspacesByName.find(aName);
+  return found == mWorkspacesByName.end() ? nullptr : found->second;
+}
+
 const std::string&
 routing_config::GroupOf(const std::string& aService) const
 {
@@ -106,4 +130,17 @@
   return found == mContent.mServices.end() ? 1 : found->second.mMaxConnections;
 }
 
+int
+RankOf(const routing_config& aConfig,
+       const route& aRoute,
+       const workspace* aWorkspace)
+{
+  if (!aConfig.UsesWorkspaces()) {
+    return 0;
+  }
+  return aWorkspace == nullptr
+           ? aRoute.mPriority
+           : aWorkspace->mPriority.value_or(aRoute.mPriority);
+}
+
 } // namespace monsooncroft::serving
