Messages about quotas, and malformed parts of messages lose nothing else

The quota part of a message between instances holds reports with questions, replies, notices and the groups without an issuer. DecodeExtensions passed the exception of one part on, so that DecodeMessage refused the whole datagram with the heartbeats in it; each part is now decoded on its own, and a malformed one is named in fleet_message::mMalformedParts.

--- a/src/serving/fleet_extensions.cpp
+++ b/src/serving/fleet_extensions.cpp
@@ -4,6 +4,7 @@
  */
 #include "serving/fleet_extensions.h"
 
+#include "serving/fleet_extension_quota.h"
 #include "serving/fleet_type.h"
 
 #include <nlohmann/json.hpp>
@@ -13,7 +14,9 @@
 const std::vector<fleet_extension>&
 FleetExtensions()
 {
-  static const std::vector<fleet_extension> kExtensions{};
+  static const std::vector<fleet_extension> kExtensions{
+    { "quota", EncodeQuota, DecodeQuota },
+  };
   return kExtensions;
 }
 
@@ -36,7 +39,11 @@
   for (const fleet_extension& extension : FleetExtensions()) {
     const auto part = aParts.find(extension.mName);
     if (part != aParts.end()) {
-      extension.mDecode(*part, aMessage);
+      try {
+        extension.mDecode(*part, aMessage);
+      } catch (const nlohmann::json::exception&) {
+        aMessage.mMalformedParts.emplace_back(extension.mName);
+      }
     }
   }
 }
--- a/src/serving/fleet_extensions.h
+++ b/src/serving/fleet_extensions.h
@@ -33,8 +33,9 @@
 nlohmann::json
 EncodeExtensions(const fleet_message& aMessage);
 
-/** Decodes the known parts of an object and skips the others.
- * @throws nlohmann::json::exception if a part is malformed. */
+/** Decodes the known parts of an object and skips the others. A malformed part
+ * is named in fleet_message::mMalformedParts; the rest of the message counts.
+ */
 void
 DecodeExtensions(const nlohmann::json& aParts, fleet_message& aMessage);
 
--- a/src/serving/fleet_type.h
+++ b/src/serving/fleet_type.h
@@ -11,6 +11,7 @@
 #include "serving/leaf_limit_type.h"
 #include "serving/leaf_registration_type.h"
 #include "serving/permit_type.h"
+#include "serving/quota_type.h"
 
 #include <cstdint>
 #include <optional>
@@ -85,6 +86,9 @@
   std::vector<permit_request> mPermitRequests; ///< For the receiver to decide.
   std::vector<permit_reply> mPermitReplies;
   std::vector<leaf_departure> mLeafDepartures;
+  quota_message mQuota;
+  /** Names of extensions that could not be decoded; not sent. */
+  std::vector<std::string> mMalformedParts;
 
   bool operator==(const fleet_message&) const = default;
 };
