--- a/src/gateway/instance_settings_type.h
+++ b/src/gateway/instance_settings_type.h
@@ -9,6 +9,7 @@
 #include "gateway/header_names_type.h"
 #include "gateway/query_settings_type.h"
 #include "model/endpoint_type.h"
+#include "serving/quota_settings_type.h"
 #include "serving/retry_budget_base.h"
 
 #include <string>
@@ -16,16 +17,6 @@
 
 namespace monsooncroft::gateway {
 
-/** Tolerance of workspaces' quotas. */
-struct quota_settings
-{
-  std::chrono::milliseconds mWindow{ 5'000 };
-  double mOverage = 0.1; ///< Fraction above the quota that is tolerated.
-  double mSlack = 0;     ///< Requests per window that are tolerated besides.
-
-  bool operator==(const quota_settings&) const = default;
-};
-
 /** Tolerance of cold leaves. */
 struct cold_settings
 {
@@ -60,7 +51,7 @@
   control_settings mControl;
   std::size_t mMemoryBytes = 0;    ///< Of the machine; 0: unknown.
   std::size_t mMaxDescriptors = 0; ///< Of the process; 0: unknown.
-  quota_settings mQuota;
+  serving::quota_settings mQuota;
   cold_settings mCold;
   /** Time from the stop signal to the forced end of the process. */
   std::chrono::milliseconds mStopBound{ 6'000 };
--- a/src/serving/token_bucket_base.h
+++ b/src/serving/token_bucket_base.h
@@ -32,7 +32,10 @@
     mUpdatedAt = std::max(mUpdatedAt, aNow);
   }
   bool Has(double aTokens) const { return mTokens >= aTokens; }
-  void Take() { mTokens -= 1; }
+  void Take(double aTokens = 1) { mTokens -= aTokens; }
+  /** Replaces the tokens, also by a number above the capacity or below 0. */
+  void Set(double aTokens) { mTokens = aTokens; }
+  double Tokens() const { return mTokens; }
   /** Time until the bucket has that many tokens, rounded up. */
   std::chrono::milliseconds TimeUntil(double aTokens) const
   {
