Membership: deputies of duties, and members out of reach are remembered for a minute

StartGossipRound() forgot members after 15 s without a heartbeat, so KnownInstances() never counted those of the last minute, as its page and mMaxCutPeriod say: in a partition of more than 15 s each side took itself for the whole fleet and issued the whole of leaves' rate limits. Members are now kept for 60 s; messages still name only those of the last 15 s. DutyDeputy() names the next holder of a duty in another data centre.

InstancesOutOfReachCountForAMinute (9 instances, 6 of them cut off for 30 s) fails without the change: 4 known instances instead of 9, and a fleet size of 4 instead of 3, also 70 s later, since members that one instance had forgotten came back as new from others that had not.

--- a/src/serving/fleet_membership.cpp
+++ b/src/serving/fleet_membership.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <iterator>
 #include <unordered_map>
+#include <utility>
 
 namespace monsooncroft::serving {
 
@@ -35,7 +36,8 @@
 {
   ++mSelf.mHeartbeat;
   std::erase_if(mOtherMembers, [&](const auto& aEntry) {
-    return aNow - aEntry.second.mLastContact > mSettings.mRetentionPeriod;
+    return aNow - aEntry.second.mLastContact >
+           std::max(mSettings.mRetentionPeriod, mSettings.mMaxCutPeriod);
   });
   std::vector<fleet_member> live = LiveMembers(aNow);
   std::shuffle(live.begin(), live.end(), mRandom);
@@ -136,7 +138,9 @@
   std::vector<const known_member*> others;
   others.reserve(mOtherMembers.size());
   for (const auto& [name, known] : mOtherMembers) {
-    others.push_back(&known);
+    if (aNow - known.mLastContact <= mSettings.mRetentionPeriod) {
+      others.push_back(&known);
+    }
   }
   // Random members, not those of the newest heartbeats: otherwise all instances
   // would pass on the same ones.
@@ -297,6 +301,29 @@
   return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
+std::optional<fleet_member>
+fleet_membership::DutyDeputy(const std::string& aSalt,
+                             model::instant aNow) const
+{
+  const std::uint64_t salt = cluster::HashOf(aSalt);
+  const fleet_member holder = DutyHolder(aSalt, aNow).value_or(mSelf);
+  const fleet_member* best = nullptr;
+  std::pair<bool, std::uint64_t> bestRank;
+  const auto consider = [&](const fleet_member& aMember) {
+    const std::pair rank(
+      aMember.mDataCentre != holder.mDataCentre,
+      cluster::RendezvousWeight(salt, cluster::HashOf(aMember.mName)));
+    if (!aMember.mLeaving && aMember.mName != holder.mName &&
+        (best == nullptr || rank > bestRank)) {
+      best = &aMember;
+      bestRank = rank;
+    }
+  };
+  consider(mSelf);
+  ForEachMemberWithin(mSettings.mFailureTimeout, aNow, consider);
+  return best == nullptr ? std::nullopt : std::optional(*best);
+}
+
 std::size_t
 fleet_membership::KnownInstances(model::instant aNow) const
 {
--- a/src/serving/fleet_membership_base.h
+++ b/src/serving/fleet_membership_base.h
@@ -102,6 +102,12 @@
    */
   std::optional<fleet_member> DutyHolder(const std::string& aSalt,
                                          model::instant aNow) const;
+  /** The member, possibly this instance, that takes the holder's place at once
+   * if it fails: the next one by the same hash, in another data centre if there
+   * is one.
+   * @return Nothing if there is no other live member. */
+  std::optional<fleet_member> DutyDeputy(const std::string& aSalt,
+                                         model::instant aNow) const;
   /** Counts this instance and all members that may be running, also those that
    * have been unreachable for long. */
   std::size_t KnownInstances(model::instant aNow) const;
--- a/test/serving/fleet_membership_test.cpp
+++ b/test/serving/fleet_membership_test.cpp
@@ -166,6 +166,45 @@
   EXPECT_EQ(fleet.Instance(4).LiveMembers(fleet.Now()).size(), 8U);
 }
 
+/** Members were forgotten after 15 seconds: each side of a longer partition took
+ * itself for the whole fleet and used the whole of limits that are shared. */
+TEST(FleetMembership, InstancesOutOfReachCountForAMinute)
+{
+  simulated_fleet fleet(9);
+  fleet.Run(seconds(5));
+  for (std::size_t index = 0; index < 9; ++index) {
+    fleet.SetCutOff(index, index > 2);
+  }
+  fleet.Run(seconds(30));
+  EXPECT_EQ(fleet.Instance(0).KnownInstances(fleet.Now()), 9U);
+  EXPECT_EQ(fleet.Instance(0).ReachableInstances(fleet.Now()), 3U);
+  EXPECT_EQ(fleet.Instance(0).FleetSize(fleet.Now()).mTotal, 3U);
+  fleet.Run(seconds(40));
+  EXPECT_EQ(fleet.Instance(0).KnownInstances(fleet.Now()), 3U);
+}
+
+/** All instances name the same deputy, elsewhere than the holder. */
+TEST(FleetMembership, DeputyIsInAnotherDataCentre)
+{
+  simulated_fleet fleet(9);
+  fleet.Run(seconds(5));
+  for (int duty = 0; duty < 8; ++duty) {
+    const std::string salt = "quota " + std::to_string(duty);
+    const auto holder = fleet.Instance(0)
+                          .DutyHolder(salt, fleet.Now())
+                          .value_or(fleet.Instance(0).Self());
+    const auto deputy = fleet.Instance(0).DutyDeputy(salt, fleet.Now());
+    ASSERT_TRUE(deputy);
+    EXPECT_NE(deputy->mDataCentre, holder.mDataCentre);
+    for (std::size_t index = 1; index < 9; ++index) {
+      EXPECT_EQ(fleet.Instance(index).DutyDeputy(salt, fleet.Now())->mName,
+                deputy->mName);
+    }
+  }
+  simulated_fleet single(1);
+  EXPECT_FALSE(single.Instance(0).DutyDeputy("quota 0", single.Now()));
+}
+
 TEST(FleetMembership, ExactlyOneInstanceIsFirstForADuty)
 {
   simulated_fleet fleet(9);
