Quotas of workspaces on the event loop, between instances, and their settings

quota_client implements workspace_admission: one datagram for each keeper and loop iteration, one timer for all open questions, the boot clock for all times. control_plane is quota_peers; the keepers of a group are looked up at most every 20 ms, since 88 rendezvous weights for each admission would cost more than the admission. The limits reach the ledgers with each configuration. bounds.quota_window_s, quota_overage and quota_slack are read if present.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -73,6 +73,7 @@
   , mHooks(std::move(aHooks))
   , mLog(aLog)
   , mMetrics(aMetrics)
+  , mStartedAt(event_loop::Now())
   , mPeerSocket(
       aLoop,
       mFleet.Self().mPeerEndpoint,
@@ -201,7 +202,15 @@
     return;
   }
   const model::instant now = event_loop::Now();
+  for (const std::string& part : message->mMalformedParts) {
+    mLog.Write(ops::log_level::Warning,
+               "peer_message_part_malformed",
+               { { "from", aFrom.ToString() }, { "part", part } });
+    mMetrics.Count("peer_message_parts_malformed",
+                   { { "part", part.c_str() } });
+  }
   mFleet.OnMessage(*message, now);
+  mFirstContactAt = mFirstContactAt.value_or(now);
   for (const serving::fleet_member& member : message->mMembers) {
     UpdateStoreEra(member.mDirectoryRevision, "peer");
   }
@@ -244,6 +253,9 @@
   for (const serving::permit_reply& reply : message->mPermitReplies) {
     mHooks.mOnPermitReply(reply);
   }
+  if (!message->mQuota.IsEmpty()) {
+    mHooks.mOnQuota(message->mQuota, message->mMembers.front());
+  }
   if (message->mWantsReply) {
     SendToPeer(aFrom, serving::EncodeMessage(MakeMessage(false)));
   }
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -11,7 +11,9 @@
 #include "gateway/permit_peers_base.h"
 #include "serving/fleet_membership_base.h"
 #include "serving/leaf_directory_base.h"
+#include "serving/quota_peers_base.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 
@@ -32,7 +34,9 @@
  * and the age of its data decide which instance reads, so that an unreachable
  * reader is replaced without an election.
  */
-class control_plane : public permit_peers
+class control_plane
+  : public permit_peers
+  , public serving::quota_peers
 {
 public:
   /** Callbacks into the rest of the instance. */
@@ -56,6 +60,10 @@
     std::function<void(const serving::permit_request&, const model::endpoint&)>
       mOnPermitRequest;
     std::function<void(const serving::permit_reply&)> mOnPermitReply;
+    /** Gets the sender. */
+    std::function<void(const serving::quota_message&,
+                       const serving::fleet_member&)>
+      mOnQuota;
   };
 
   control_plane(event_loop& aLoop,
@@ -111,6 +119,14 @@
                       model::instant aNow) override;
   std::size_t SendingInstances(model::instant aNow) const override;
   double ReachableShare(model::instant aNow) const override;
+  serving::quota_keepers Keepers(serving::quota_group aGroup) const override;
+  std::size_t KnownInstances() const override;
+  std::size_t ReachableInstances() const override;
+  bool MembershipIsComplete() const override;
+  void SendQuota(const model::endpoint& aTo,
+                 const serving::quota_message& aMessage) override;
+  void SendQuotaToAll(const serving::quota_message& aMessage) override;
+  void SendQuotaToDataCentre(const serving::quota_message& aMessage) override;
   /** Sends all peers the mark of a request that crashed a leaf. */
   void SendCrashMark(const once::crash_mark& aMark, model::instant aNow);
 
@@ -123,6 +139,13 @@
     model::duration mRetryDelay{ 0 };
   };
 
+  /** The keepers of a quota group, as found a moment ago. */
+  struct known_keepers
+  {
+    serving::quota_keepers mKeepers;
+    std::optional<model::instant> mFoundAt;
+  };
+
   void PollDirectory(model::instant aNow);
   void ReadDirectoryNow(model::instant aNow);
   /** Whether the next read of the registrations is due now. */
@@ -191,6 +214,9 @@
   /** Set while changes of the registrations are known to be missing. */
   std::optional<model::instant> mDirectoryBehindSince;
   model::instant mFreshReadsUntil; ///< Reads must not be stale until then.
+  model::instant mStartedAt;
+  std::optional<model::instant> mFirstContactAt; ///< Message of any peer.
+  mutable std::array<known_keepers, serving::kQuotaGroups> mQuotaKeepers;
   peer_socket mPeerSocket;
 };
 
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t kMaxDepartureReports = 16;
 /** Period of log entries about fields that cannot be read. */
 constexpr std::chrono::seconds kMalformedFieldLogPeriod{ 10 };
+/** Messages about quotas that a process numbers in a millisecond at most. */
+constexpr std::uint64_t kIdsPerMs = 1'000;
 /** Fraction of the demand that must be servable to be ready while a data centre
  * is unreachable. */
 constexpr double kMinServableFraction = 0.5;
@@ -122,6 +124,12 @@
              mControlPlane,
              aMetrics,
              cluster::HashOf(mSettings.mName) ^ WallMs())
+  , mQuota(aLoop,
+           mControlPlane,
+           mSettings.mQuota,
+           aLog,
+           aMetrics,
+           WallMs() * kIdsPerMs)
   , mRelay(aLoop,
            mSettings.mHeaderNames,
            mSettings.mName,
@@ -172,6 +180,7 @@
   control_plane::hooks hooks;
   hooks.mOnConfig = [this](const serving::routing_config_ptr& aConfig) {
     mDispatcher.SetConfig(aConfig);
+    mQuota.SetConfig(*aConfig);
     mCallerServer.SetLimits(aConfig->Limits());
     UpdateRole(event_loop::Now());
   };
@@ -231,6 +240,7 @@
   hooks.mSuspectedLeaves = [this] {
     return mLeaves.SuspectedLeaves(event_loop::Now());
   };
+  AddQuotaHooks(hooks);
   return hooks;
 }
 
@@ -241,6 +251,7 @@
   const model::instant now = event_loop::Now();
   CheckSuspension(now);
   mControlPlane.OnTick(now);
+  mQuota.OnTick();
   mCallerServer.OnTick(now);
   mReadinessServer.OnTick(now);
   if (mRelayServer) {
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -11,6 +11,7 @@
 #include "gateway/leaf_table_base.h"
 #include "gateway/loop_timer_base.h"
 #include "gateway/permit_client_base.h"
+#include "gateway/quota_client_base.h"
 #include "gateway/relay_client_base.h"
 #include "gateway/relay_handler_base.h"
 #include "gateway/request_dispatcher_base.h"
@@ -96,6 +97,7 @@
                        const std::string& aReason) const;
   void AdvanceStop(model::instant aNow);
   control_plane::hooks MakeHooks();
+  void AddQuotaHooks(control_plane::hooks& aHooks);
 
   event_loop& mLoop;
   instance_settings mSettings;
@@ -108,6 +110,7 @@
   leaf_table mLeaves;
   control_plane mControlPlane;
   permit_client mPermits;
+  quota_client mQuota;
   relay_client mRelay;
   request_dispatcher mDispatcher;
   uv_http_server mCallerServer;
--- a/src/serving/fleet_membership_base.h
+++ b/src/serving/fleet_membership_base.h
@@ -68,6 +68,7 @@
   /** @param aPort 0 if this instance executes no queries for others. */
   void SetRelayPort(std::uint16_t aPort);
   void SetSeeds(std::vector<model::endpoint> aSeeds);
+  std::size_t Seeds() const { return mSeeds.size(); }
   void SetLeaving();
 
   const fleet_member& Self() const { return mSelf; }
--- a/src/serving/routing_config_base.h
+++ b/src/serving/routing_config_base.h
@@ -46,6 +46,10 @@
   std::uint64_t Version() const { return mContent.mVersion; }
   const caller_limits& Limits() const { return mContent.mLimits; }
   const std::vector<route>& Routes() const { return mContent.mRoutes; }
+  const std::vector<workspace>& Workspaces() const
+  {
+    return mContent.mWorkspaces;
+  }
   const std::map<std::string, service_limits>& Services() const
   {
     return mContent.mServices;
--- a/test/adapter/decode_test.cpp
+++ b/test/adapter/decode_test.cpp
@@ -57,6 +57,28 @@
   EXPECT_EQ(std::get<settings_errors>(wrong).size(), 2U);
 }
 
+/** The tolerance of quotas, only where the deployment has them. */
+TEST(SettingsFile, ToleranceOfQuotas)
+{
+  const auto parsed = ParseSettings(kSettings);
+  const auto& without = std::get<gateway::instance_settings>(parsed);
+  EXPECT_EQ(without.mQuota, serving::quota_settings());
+  const auto withQuota = [](const std::string& aFields) {
+    std::string text = kSettings;
+    const std::string last = "  config_apply_ms: 3000\n";
+    return ParseSettings(text.insert(text.find(last), aFields));
+  };
+  const auto read = withQuota("  quota_window_s: 2.5\n  quota_overage: 0.2\n"
+                              "  quota_slack: 20\n");
+  ASSERT_TRUE(std::holds_alternative<gateway::instance_settings>(read));
+  EXPECT_EQ(std::get<gateway::instance_settings>(read).mQuota,
+            (serving::quota_settings{ milliseconds(2'500), 0.2, 20 }));
+  const auto wrong = withQuota("  quota_window_s: 0\n  quota_overage: -1\n"
+                               "  quota_slack: x\n");
+  ASSERT_TRUE(std::holds_alternative<settings_errors>(wrong));
+  EXPECT_EQ(std::get<settings_errors>(wrong).size(), 3U);
+}
+
 TEST(SettingsFile, ReportsEveryErrorWithPathFoundAndAllowed)
 {
   const auto parsed = ParseSettings(R"(
--- a/test/serving/fleet_membership_test.cpp
+++ b/test/serving/fleet_membership_test.cpp
@@ -166,8 +166,9 @@
   EXPECT_EQ(fleet.Instance(4).LiveMembers(fleet.Now()).size(), 8U);
 }
 
-/** Members were forgotten after 15 seconds: each side of a longer partition took
- * itself for the whole fleet and used the whole of limits that are shared. */
+/** Members were forgotten after 15 seconds: each side of a longer partition
+ * took itself for the whole fleet and used the whole of limits that are shared.
+ */
 TEST(FleetMembership, InstancesOutOfReachCountForAMinute)
 {
   simulated_fleet fleet(9);
