--- a/src/serving/quota_keeper.cpp
+++ b/src/serving/quota_keeper.cpp
@@ -94,7 +94,7 @@
   }
   // An issuer that becomes the deputy goes on with its ledger.
   if (current > group.mRole) {
-    group.mLedger.Begin(group.mRole == role::None, aNow);
+    group.mLedger.Begin(group.mRole == role::None, Share(), aNow);
   }
   group.mRole = current;
   group.mNextNotice = aNow;
@@ -213,7 +213,7 @@
   group_state& group = mGroups[aNotice.mGroup];
   if (group.mRole == role::Deputy &&
       aNow - group.mIssuerHeardAt > kLedgerApart) {
-    group.mLedger.Begin(false, aNow);
+    group.mLedger.Begin(false, Share(), aNow);
   }
   group.mIssuerHeardAt = aNow;
   group.mAloneRequests = 0;
--- a/src/serving/quota_ledger.cpp
+++ b/src/serving/quota_ledger.cpp
@@ -25,6 +25,11 @@
 constexpr std::chrono::seconds kSenderRetention{ 30 };
 /** Lowest rate that delays are computed from. */
 constexpr double kMinRate = 0.01;
+/** Of the instances: a part of the fleet that is at least this large, a data
+ * centre of three, has the whole allowance. A third of it would not even out
+ * the arrivals of a small workspace; for single isolated instances, dozens of
+ * whole ones would exceed the margin. */
+constexpr double kLargePart = 1.0 / 3;
 /** Longest time that a caller is told to wait. */
 constexpr std::chrono::seconds kMaxRetryAfter{ 3 };
 
@@ -44,13 +49,28 @@
   mLimits = std::move(aLimits);
 }
 
+double
+quota_ledger::Tokens(const quota_limit& aLimit, double aShare) const
+{
+  return aLimit.mBurst * aShare + MarginOf(aLimit, mSettings).mAllowance *
+                                    std::min(1.0, aShare / kLargePart);
+}
+
+double
+quota_ledger::Start(const quota_limit& aLimit) const
+{
+  const double start =
+    std::min(MarginOf(aLimit, mSettings).mStart, Tokens(aLimit, mBeganShare));
+  return mBeganShare < kLargePart ? start : std::max(1.0, start);
+}
+
 void
-quota_ledger::Begin(bool aIsNew, model::instant aNow)
+quota_ledger::Begin(bool aIsNew, double aShare, model::instant aNow)
 {
   mBeganAt = aNow;
+  mBeganShare = aShare;
   for (auto& [hash, state] : mWorkspaces) {
-    const double start =
-      std::max(1.0, MarginOf(state.mLimit, mSettings).mStart);
+    const double start = Start(state.mLimit);
     state.mBucket.Set(std::min(state.mBucket.Tokens(), start));
     state.mBucket.Advance(0, start, aNow);
     state.mRestricted =
@@ -68,8 +88,6 @@
                       model::instant aNow) const
 {
   const quota_margin margin = MarginOf(aLimit, mSettings);
-  // The allowance is not divided: a third of it would not even out the arrivals
-  // of a small workspace in an isolated data centre.
   const double full = aLimit.mBurst + margin.mAllowance;
   const double before = aState.mLimit.mRatePerSecond;
   const bool isRaised = aState.mIsConfigured && aState.mFullCapacity > 0 &&
@@ -84,13 +102,12 @@
   }
   aState.mLimit = aLimit;
   aState.mFullCapacity = full;
-  aState.mCapacity = std::max(1.0, aLimit.mBurst * aShare + margin.mAllowance);
+  aState.mCapacity = std::max(1.0, Tokens(aLimit, aShare));
   aState.mRatePerSecond = aLimit.mRatePerSecond * aShare;
   aState.mBucket.Advance(aState.mRatePerSecond, aState.mCapacity, aNow);
   const double overlap =
     std::min(aState.mRatePerSecond, margin.mOverlapPerSecond);
-  aState.mOverlap.Advance(
-    overlap, std::max(1.0, margin.mOverlapBurst * aShare), aNow);
+  aState.mOverlap.Advance(overlap, std::max(1.0, margin.mOverlapBurst), aNow);
 }
 
 quota_ledger::workspace_state&
@@ -101,7 +118,7 @@
     // Not reported on since the beginning of the duty: at the start's level
     // then, and refilled since.
     const quota_limit& limit = LimitOf(aItem.mWorkspace, aItem.mLimit);
-    const double start = std::max(1.0, MarginOf(limit, mSettings).mStart);
+    const double start = Start(limit);
     found =
       mWorkspaces.emplace(aItem.mWorkspace, workspace_state(start, mBeganAt))
         .first;
--- a/src/serving/quota_ledger_base.h
+++ b/src/serving/quota_ledger_base.h
@@ -52,8 +52,9 @@
    * issued just before may be unknown here, so the buckets have at most the
    * margin's start.
    * @param aIsNew The reports of the time before went to others.
+   * @param aShare Fraction of the instances that are in reach.
    */
-  void Begin(bool aIsNew, model::instant aNow);
+  void Begin(bool aIsNew, double aShare, model::instant aNow);
   /**
    * Charges what an instance reports and decides on what it asks.
    * @param aSender Identifies the process that reports.
@@ -103,6 +104,10 @@
     std::unordered_map<std::uint64_t, sender_state> mSenders;
   };
 
+  /** Requests that a part of the fleet may admit at once. */
+  double Tokens(const quota_limit& aLimit, double aShare) const;
+  /** Tokens at the beginning of the duty. */
+  double Start(const quota_limit& aLimit) const;
   workspace_state& Find(const quota_item& aItem, model::instant aNow);
   void Advance(workspace_state& aState,
                const quota_limit& aLimit,
@@ -126,6 +131,7 @@
   quota_settings mSettings;
   limits mLimits;
   model::instant mBeganAt;
+  double mBeganShare = 1;
   std::unordered_map<workspace_hash, workspace_state> mWorkspaces;
 };
 
--- a/test/serving/quota_fleet_test.cpp
+++ b/test/serving/quota_fleet_test.cpp
@@ -69,7 +69,7 @@
   void Fail(simulated_quota_fleet& aFleet)
   {
     const std::size_t any = mRandom() % aFleet.Size();
-    switch (mRandom() % 10) {
+    switch (mRandom() % 11) {
       case 0:
         aFleet.Crash(aFleet.Issuer());
         break;
@@ -92,6 +92,13 @@
       case 5: // One instance is isolated.
         aFleet.SetSide(any, 2);
         break;
+      case 9: // Several are, also from each other.
+        for (std::size_t index = 0; index < aFleet.Size(); ++index) {
+          if (mRandom() % 3 == 0) {
+            aFleet.SetSide(index, 10 + static_cast<int>(index));
+          }
+        }
+        break;
       case 6:
         for (std::size_t index = 0; index < aFleet.Size(); ++index) {
           aFleet.SetSide(index, 0);
@@ -305,5 +312,26 @@
   }
 }
 
+/** Instances that are isolated from each other had an issuer's allowance each.
+ */
+TEST(quota_fleet, BoundHoldsForTheLargeFleetWithIsolatedInstances)
+{
+  for (std::uint32_t seed = 0; seed < 10; ++seed) {
+    quota_fleet_settings settings;
+    settings.mInstances = 89;
+    const double rate = seed % 2 == 0 ? 25 : 2;
+    settings.mLimit = { rate, rate };
+    settings.mLoss = 0.005;
+    simulated_quota_fleet fleet(settings, seed);
+    fleet.Run(seconds(4), kUsual * rate);
+    fleet.Run(milliseconds(30 * seed), 8 * kUsual * rate);
+    for (std::size_t index = seed; index < 89; index += 89 / 15) {
+      fleet.SetSide(index, 10 + static_cast<int>(index));
+    }
+    fleet.Run(seconds(12), 8 * kUsual * rate);
+    EXPECT_LE(fleet.WorstExcess(), 0) << "seed " << seed;
+  }
+}
+
 } // namespace
 } // namespace monsooncroft::serving
--- a/test/serving/quota_ledger_test.cpp
+++ b/test/serving/quota_ledger_test.cpp
@@ -136,10 +136,10 @@
 TEST_F(quota_ledger_test, NewIssuerStartsWithPartOfTheMargin)
 {
   const double start = MarginOf(kLimit, kSettings).mStart;
-  mLedger.Begin(true, kStart);
+  mLedger.Begin(true, 1, kStart);
   EXPECT_EQ(Decide(1, Item(0, 0, 0)).mLevel, start);
   EXPECT_GT(Decide(1, Item(0, 0, 0), seconds(2)).mLevel, start);
-  mLedger.Begin(false, kStart + seconds(2));
+  mLedger.Begin(false, 1, kStart + seconds(2));
   EXPECT_EQ(Decide(1, Item(0, 0, 0), seconds(2)).mLevel, start);
 }
 
