--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -11,6 +11,7 @@
 #include "gateway/leaf_table_base.h"
 #include "gateway/loop_timer_base.h"
 #include "gateway/permit_client_base.h"
+#include "gateway/quota_client_base.h"
 #include "gateway/relay_client_base.h"
 #include "gateway/relay_handler_base.h"
 #include "gateway/request_dispatcher_base.h"
@@ -106,6 +107,7 @@
   void CheckTickGap(model::instant aNow);
   /** Lets the dispatcher ask the store for the newest configuration. */
   void ConnectWorkspaces();
+  void AddQuotaHooks(control_plane::hooks& aHooks);
 
   event_loop& mLoop;
   instance_settings mSettings;
@@ -118,6 +120,7 @@
   leaf_table mLeaves;
   control_plane mControlPlane;
   permit_client mPermits;
+  quota_client mQuota;
   relay_client mRelay;
   request_dispatcher mDispatcher;
   uv_http_server mCallerServer;
--- a/src/gateway/entry_instance_workspaces.cpp
+++ b/src/gateway/entry_instance_workspaces.cpp
@@ -29,6 +29,7 @@
 void
 entry_instance::ConnectWorkspaces()
 {
+  mDispatcher.SetAdmission(&mQuota);
   mDispatcher.SetConfigReader(
     [this] { return mControlPlane.ReadNewestConfig(event_loop::Now()); });
 }
