Logs name the leaves that a query's executions tried, and what was heard of roots

The logs could not tell which executions of a query had used which leaves: leaves were listed for missing shards only, and the receiver's line named the last root.

The line of a request lists the shards with several attempts, whether the query was resent, and how many extra attempts the retry budget denied, with the number of instances by which its slack is divided. The line of the receiver lists what it sent and heard, with times. No decision changes.

--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -12,7 +12,6 @@
 #include "gateway/request_head_func.h"
 #include "model/time_func.h"
 #include "serving/hedge_rule_func.h"
-#include "serving/retry_budget_base.h"
 #include "serving/shard_omission_func.h"
 
 #include <algorithm>
@@ -104,9 +103,7 @@
 query_execution::TakeResendBudget(model::instant aNow)
 {
   for (std::size_t index = 0; index < mShards.size(); ++index) {
-    if (!mContext.mRetryBudget.TryAcquire(mPlan.mServices[index],
-                                          serving::retry_budget::purpose::Retry,
-                                          aNow)) {
+    if (!TakeBudget(index, serving::retry_budget::purpose::Retry, aNow)) {
       mShards[index].mFailed = true;
       ++mFailedShards;
     }
@@ -505,9 +502,18 @@
     return true;
   }
   return shard.mAttemptCount < route.mMaxAttempts && !mPlan.mSingleAttempt &&
-         mContext.mRetryBudget.TryAcquire(mPlan.mServices[aShardIndex],
-                                          serving::retry_budget::purpose::Retry,
-                                          aNow);
+         TakeBudget(aShardIndex, serving::retry_budget::purpose::Retry, aNow);
+}
+
+bool
+query_execution::TakeBudget(std::size_t aShardIndex,
+                            serving::retry_budget::purpose aPurpose,
+                            model::instant aNow)
+{
+  const bool allowed = mContext.mRetryBudget.TryAcquire(
+    mPlan.mServices[aShardIndex], aPurpose, aNow);
+  mDeniedAttempts += allowed ? 0 : 1;
+  return allowed;
 }
 
 void
@@ -527,9 +533,7 @@
         leaf->Load().ExpectedLatency(mPlan.mLatency->Mean(), aNow),
         mPlan.mLatency->HighQuantile(),
         aNow) ||
-      !mContext.mRetryBudget.TryAcquire(mPlan.mServices[aShardIndex],
-                                        serving::retry_budget::purpose::Hedge,
-                                        aNow)) {
+      !TakeBudget(aShardIndex, serving::retry_budget::purpose::Hedge, aNow)) {
     shard.mHedgeAt = aNow + mContext.mSettings.mLeafRetryDelay;
     return;
   }
--- a/src/gateway/query_execution_answer.cpp
+++ b/src/gateway/query_execution_answer.cpp
@@ -18,6 +18,13 @@
 
 namespace monsooncroft::gateway {
 
+namespace {
+
+/** Shards with several attempts that a log line lists. */
+constexpr std::size_t kMaxListedShards = 24;
+
+} // namespace
+
 void
 query_execution::Evaluate(model::instant aNow)
 {
@@ -164,6 +171,11 @@
       { "sends", static_cast<long>(mAttemptCount) },
       { "hedges", static_cast<long>(mHedgeCount) },
       { "omitted", static_cast<long>(mOmittedShards) },
+      { "resent", static_cast<long>(mPlan.mIsResent) },
+      { "budget_denied", static_cast<long>(mDeniedAttempts) },
+      { "budget_instances",
+        static_cast<long>(mContext.mRetryBudget.InstanceCount()) },
+      { "extra", FormatExtraAttempts() },
       { "missing", FormatMissingShards() },
       { "reason", std::string(mLastReason) } });
   mContext.mMetrics.Count("requests",
@@ -194,6 +206,27 @@
   mContext.mLoop.Defer([self = std::move(mSelf)] {});
 }
 
+std::string
+query_execution::FormatExtraAttempts() const
+{
+  std::string text;
+  std::size_t listed = 0;
+  for (std::size_t index = 0; index < mShards.size(); ++index) {
+    const auto& leaves = mShards[index].mTriedLeaves;
+    if (leaves.size() < 2) {
+      continue;
+    }
+    if (++listed > kMaxListedShards) {
+      return text.append(" ...");
+    }
+    text.append(text.empty() ? "" : " ").append(mPlan.mServices[index]);
+    for (const std::string& leaf : leaves) {
+      text.append(":").append(leaf);
+    }
+  }
+  return text;
+}
+
 std::string
 query_execution::FormatMissingShards() const
 {
--- a/src/gateway/query_execution_base.h
+++ b/src/gateway/query_execution_base.h
@@ -11,6 +11,7 @@
 #include "gateway/query_context_type.h"
 #include "gateway/query_plan_type.h"
 #include "serving/answer_rule_func.h"
+#include "serving/retry_budget_base.h"
 
 #include <memory>
 #include <vector>
@@ -80,6 +81,10 @@
                    bool aIsHedge,
                    model::instant aNow);
   bool MayRetry(std::size_t aShardIndex, bool aMayHaveRun, model::instant aNow);
+  /** Takes an extra attempt from the retry budget. */
+  bool TakeBudget(std::size_t aShardIndex,
+                  serving::retry_budget::purpose aPurpose,
+                  model::instant aNow);
   void Hedge(std::size_t aShardIndex, model::instant aNow);
   leaf_endpoint* ChooseLeaf(std::size_t aShardIndex,
                             bool aUntriedOnly,
@@ -93,6 +98,8 @@
   void Finish(const http_response* aResponse,
               const char* aOutcome,
               model::instant aNow);
+  /** Shards with several attempts, with the leaves that were tried. */
+  std::string FormatExtraAttempts() const;
   /** Unanswered shards with the leaves that were tried. */
   std::string FormatMissingShards() const;
   model::duration HedgeDelay(const leaf_endpoint& aLeaf,
@@ -109,6 +116,7 @@
   int mAttemptCount = 0;
   int mHedgeCount = 0;
   int mOmittedShards = 0;
+  int mDeniedAttempts = 0; ///< Extra attempts that the budget did not allow.
   /** An attempt may have run without a usable answer. */
   bool mMayHaveRun = false;
   bool mDone = false;
--- a/src/gateway/relay_client.cpp
+++ b/src/gateway/relay_client.cpp
@@ -84,6 +84,7 @@
       return;
     }
     mTried.push_back(root->mAddress.mName);
+    NoteEvent(mTried.back(), aNow);
     mConfirmed = false;
     mChannel = mClient.TakeChannel(*root);
     mTimer.Start(kConfirmationTimeout);
@@ -95,6 +96,7 @@
       },
       [this] {
         mConfirmed = true;
+        NoteEvent("confirmed", event_loop::Now());
         mTimer.Stop();
       });
   }
@@ -161,6 +163,7 @@
       // A root that got the query late may still execute it.
       mMayHaveRun = mMayHaveRun || wasSent;
       mReason = wasConfirmed ? "no answer" : "not confirmed";
+      NoteEvent(wasSent ? "lost" : "not sent", now);
       if (now < mQuery.mDeadline) {
         mClient.Suspect(mTried.back(), now);
         Next(now);
@@ -171,6 +174,7 @@
     }
     if (const auto* reason = aAnswer->Find(relay_fields::kRefused)) {
       mReason = "refused";
+      NoteEvent(*reason, now);
       mOverloaded = mOverloaded || *reason == relay_fields::kOverloaded;
       mClient.mMetrics.Count("relays_refused");
       Next(now);
@@ -204,6 +208,17 @@
     }
   }
 
+  /** Adds an event and its age to the log line of the query. */
+  void NoteEvent(const std::string& aEvent, model::instant aNow)
+  {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aNow - mQuery.mExchange->ReceivedAt());
+    mHistory.append(mHistory.empty() ? "" : ", ")
+      .append(aEvent)
+      .append("@")
+      .append(std::to_string(age.count()));
+  }
+
   void Log(const char* aOutcome, int aStatus, model::instant aNow) const
   {
     const auto latency = aNow - mQuery.mExchange->ReceivedAt();
@@ -221,6 +236,7 @@
         { "ms", static_cast<double>(latency.count()) / 1000.0 },
         { "root", mTried.empty() ? std::string() : mTried.back() },
         { "roots", static_cast<long>(mTried.size()) },
+        { "history", mHistory },
         { "reason", std::string(mReason) } });
   }
 
@@ -236,6 +252,7 @@
   bool mOverloaded = false; ///< A root has refused the query.
   bool mCallerLeft = false;
   const char* mReason = "";
+  std::string mHistory; ///< Events with ms since the query arrived.
 };
 
 relay_client::relay_client(event_loop& aLoop,
--- a/src/serving/retry_budget_base.h
+++ b/src/serving/retry_budget_base.h
@@ -55,6 +55,7 @@
   /** @param aCount Instances that may spend budget, including those that have
    * become unreachable recently. */
   void SetInstanceCount(std::size_t aCount) { mInstanceCount = aCount; }
+  std::size_t InstanceCount() const { return mInstanceCount; }
   void OnRequest(const std::string& aService, model::instant aNow);
   /** Takes one extra attempt; false if the window has none left. */
   bool TryAcquire(const std::string& aService,
