--- a/src/gateway/relay_client.cpp
+++ b/src/gateway/relay_client.cpp
@@ -13,6 +13,8 @@
 #include "gateway/workspace_metrics_func.h"
 #include "ops/log_base.h"
 #include "ops/metrics_base.h"
+#include "serving/hand_over_actions_base.h"
+#include "serving/hand_over_base.h"
 
 #include <algorithm>
 
@@ -31,22 +33,22 @@
 constexpr std::chrono::milliseconds kSuspicionPeriod{ 2'000 };
 /** Time for the way back of an answer and for passing it on. */
 constexpr std::chrono::milliseconds kReturnTime{ 3 };
-/** Roots that get one query at most. */
-constexpr std::size_t kMaxRoots = 2;
 /** Open connections to one root without a query. */
 constexpr std::size_t kMaxIdleChannels = 2;
 
 } // namespace
 
-/** One query at one root after another. */
-class relay_client::attempt : public std::enable_shared_from_this<attempt>
+/** One query and its executions at roots. */
+class relay_client::attempt
+  : public serving::hand_over_actions
+  , public std::enable_shared_from_this<attempt>
 {
 public:
   attempt(relay_client& aClient, relayed_query aQuery, fallback aFallback)
     : mClient(aClient)
     , mQuery(std::move(aQuery))
     , mFallback(std::move(aFallback))
-    , mTimer(aClient.mLoop, [this] { OnUnconfirmed(); })
+    , mHandOver(mQuery.mMaxAttempts, *this)
   {
   }
 
@@ -64,148 +66,210 @@
         self->OnCallerLeft();
       }
     });
-    Next(aNow);
+    mHandOver.Start(aNow);
   }
 
-private:
-  void Next(model::instant aNow)
+  bool SendToRoot(const serving::attempt_grant& aGrant) override
   {
-    root_state* root =
-      mTried.size() < kMaxRoots ? mClient.ChooseRoot(mTried, aNow) : nullptr;
+    const model::instant now = event_loop::Now();
+    root_state* root = mClient.ChooseRoot(mTried, now);
     if (root == nullptr) {
-      if (mOverloaded && !mMayHaveRun) {
-        const auto delay = FormatSeconds(mClient.mRetryAfter);
-        Respond({ 503, { { "Retry-After", delay } }, {} }, aNow);
-        return;
-      }
-      mQuery.mExchange->OnCallerLeft(nullptr);
-      Log("direct", 0, aNow);
-      mFallback(mMayHaveRun);
-      return;
+      return false;
     }
+    const std::size_t index = mExecutions.size();
     mTried.push_back(root->mAddress.mName);
-    NoteEvent(mTried.back(), aNow);
-    mConfirmed = false;
-    mChannel = mClient.TakeChannel(*root);
-    mTimer.Start(kConfirmationTimeout);
-    mChannel->Call(
-      Serialize(aNow),
-      mQuery.mDeadline - aNow,
-      [self = shared_from_this()](std::optional<http_message> aAnswer) {
-        self->OnAnswer(std::move(aAnswer));
+    NoteEvent(mTried.back(), now);
+    mExecutions.push_back(std::make_unique<execution>(
+      mClient.TakeChannel(*root), mClient.mLoop, [this, index] {
+        const auto self = shared_from_this();
+        OnConfirmationTimer(index);
+      }));
+    execution& current = *mExecutions.back();
+    current.mTimer.Start(kConfirmationTimeout);
+    current.mChannel->Call(
+      Serialize(aGrant, now),
+      mQuery.mDeadline - now,
+      [self = shared_from_this(), index](std::optional<http_message> aAnswer) {
+        self->OnResponse(index, std::move(aAnswer));
       },
-      [this] {
-        mConfirmed = true;
-        NoteEvent("confirmed", event_loop::Now());
-        mTimer.Stop();
-      });
+      [this, index] { OnInterim(index); });
+    return true;
+  }
+
+  void Cancel(std::size_t aExecution) override
+  {
+    // Null if the response is what ended the query.
+    if (const auto& channel = mExecutions[aExecution]->mChannel) {
+      channel->Cancel(); // Calls OnResponse().
+    }
   }
 
-  std::string Serialize(model::instant aNow) const
+  void Answer(std::size_t aExecution) override
+  {
+    http_response response =
+      ForwardedAnswer(*mExecutions[aExecution]->mAnswer);
+    if (MeansNotRun(response.mStatus) &&
+        mHandOver.MayHaveRunBeside(aExecution)) {
+      response = { 502, {}, {} };
+    }
+    Respond(response, mTried[aExecution]);
+  }
+
+  void ExecuteHere(const serving::attempt_grant& aGrant) override
+  {
+    mQuery.mExchange->OnCallerLeft(nullptr);
+    Log("direct", 0, mTried.empty() ? std::string() : mTried.back());
+    mFallback(aGrant);
+  }
+
+  void Refuse() override
+  {
+    mRefused = true;
+    const auto delay = FormatSeconds(mClient.mRetryAfter);
+    Respond({ 503, { { "Retry-After", delay } }, {} }, mTried.back());
+  }
+
+  void Fail() override
+  {
+    const bool late = event_loop::Now() >= mQuery.mDeadline;
+    Respond({ late ? 504 : 502, {}, {} }, mTried.back());
+  }
+
+private:
+  /** The query at one root. */
+  struct execution
+  {
+    execution(std::unique_ptr<http_channel> aChannel,
+              event_loop& aLoop,
+              std::function<void()> aOnTimer)
+      : mChannel(std::move(aChannel))
+      , mTimer(aLoop, std::move(aOnTimer))
+    {
+    }
+
+    std::unique_ptr<http_channel> mChannel; ///< Null after the response.
+    loop_timer mTimer; ///< Ends the wait for the confirmation.
+    std::optional<http_message> mAnswer;
+    bool mConfirmed = false;
+  };
+
+  static void AddField(std::string& aText,
+                       const std::string& aName,
+                       const std::string& aValue)
+  {
+    aText.append(aName).append(": ").append(aValue).append("\r\n");
+  }
+
+  std::string Serialize(const serving::attempt_grant& aGrant,
+                        model::instant aNow) const
   {
     const auto remaining =
       std::chrono::duration_cast<std::chrono::milliseconds>(mQuery.mDeadline -
                                                             aNow);
     const model::duration within = std::max<model::duration>(
       mQuery.mAnswerBy - aNow - kReturnTime, model::duration(0));
-    const auto addField = [](std::string& aText,
-                             const std::string& aName,
-                             const std::string& aValue) {
-      aText.append(aName).append(": ").append(aValue).append("\r\n");
-    };
     std::string text = mRequest->mHead;
-    addField(text,
+    AddField(text,
              mClient.mHeaderNames.mRemainingMs,
              std::to_string(std::max<long>(1, remaining.count())));
-    addField(text,
+    AddField(text,
              relay_fields::kConfigVersion,
              std::to_string(mQuery.mConfigVersion));
-    addField(
+    AddField(
       text, relay_fields::kAnswerWithinUs, std::to_string(within.count()));
-    if (mMayHaveRun) {
-      addField(text, relay_fields::kResent, "1");
+    if (aGrant.mIsResent) {
+      AddField(text, relay_fields::kResent, "1");
     }
     return text.append("\r\n").append(mRequest->mBody);
   }
 
-  void OnUnconfirmed()
+  void OnInterim(std::size_t aExecution)
+  {
+    execution& current = *mExecutions[aExecution];
+    current.mTimer.Stop();
+    if (!std::exchange(current.mConfirmed, true)) {
+      NoteEvent("confirmed", event_loop::Now());
+      mHandOver.OnConfirmed(aExecution);
+    }
+  }
+
+  void OnConfirmationTimer(std::size_t aExecution)
   {
     // While this instance was busy, the confirmation may have arrived or the
     // connection may have been established: timers run before sockets are read,
     // and several may run before the next read.
-    if (mChannel->HasUnreportedEvent()) {
-      mTimer.Start(kReadGrace);
+    execution& current = *mExecutions[aExecution];
+    if (current.mChannel->HasUnreportedEvent()) {
+      current.mTimer.Start(kReadGrace);
       return;
     }
     const model::instant now = event_loop::Now();
-    const auto sentAt = mChannel->SentAt();
+    const auto sentAt = current.mChannel->SentAt();
     if (sentAt && now < *sentAt + kConfirmationTimeout) {
-      mTimer.Start(*sentAt + kConfirmationTimeout - now);
+      current.mTimer.Start(*sentAt + kConfirmationTimeout - now);
       return;
     }
-    mClient.Suspect(mTried.back(), now);
+    mClient.Suspect(mTried[aExecution], now);
     mReason = "not confirmed";
-    mChannel->Cancel(); // Calls OnAnswer().
+    NoteEvent(sentAt ? "unconfirmed" : "not sent", now);
+    mHandOver.OnUnconfirmed(aExecution, sentAt.has_value(), now);
   }
 
-  void OnAnswer(std::optional<http_message> aAnswer)
+  void OnResponse(std::size_t aExecution, std::optional<http_message> aAnswer)
   {
     const auto self = shared_from_this();
     const model::instant now = event_loop::Now();
-    mTimer.Stop();
-    const bool wasSent = mChannel->SentAt().has_value();
-    mClient.ReturnChannel(mTried.back(), std::move(mChannel));
-    if (mCallerLeft) {
+    execution& current = *mExecutions[aExecution];
+    current.mTimer.Stop();
+    const bool wasSent = current.mChannel->SentAt().has_value();
+    mClient.ReturnChannel(mTried[aExecution], std::move(current.mChannel));
+    if (mHandOver.IsDone()) {
       return;
     }
-    const bool wasConfirmed = mConfirmed;
     if (!aAnswer) {
-      // A root that got the query late may still execute it.
-      mMayHaveRun = mMayHaveRun || wasSent;
-      mReason = wasConfirmed ? "no answer" : "not confirmed";
-      NoteEvent(wasSent ? "lost" : "not sent", now);
-      if (now < mQuery.mDeadline) {
-        mClient.Suspect(mTried.back(), now);
-        Next(now);
-      } else {
-        Respond({ 504, {}, {} }, now);
-      }
-      return;
-    }
-    if (const auto* reason = aAnswer->Find(relay_fields::kRefused)) {
+      OnNoAnswer(aExecution, wasSent, now);
+    } else if (const auto* reason = aAnswer->Find(relay_fields::kRefused)) {
       mReason = "refused";
       NoteEvent(*reason, now);
-      mOverloaded = mOverloaded || *reason == relay_fields::kOverloaded;
+      const bool overloaded = *reason == relay_fields::kOverloaded;
+      mRefused = mRefused || overloaded;
       mClient.mMetrics.Count("relays_refused");
-      Next(now);
-      return;
+      mHandOver.OnRefused(aExecution, overloaded, now);
+    } else {
+      current.mAnswer = std::move(aAnswer);
+      mHandOver.OnAnswer(aExecution);
     }
-    http_response response = ForwardedAnswer(*aAnswer);
-    if (MeansNotRun(response.mStatus) && mMayHaveRun) {
-      response = { 502, {}, {} };
+  }
+
+  void OnNoAnswer(std::size_t aExecution, bool aWasSent, model::instant aNow)
+  {
+    mReason =
+      mExecutions[aExecution]->mConfirmed ? "no answer" : "not confirmed";
+    NoteEvent(aWasSent ? "lost" : "not sent", aNow);
+    if (aNow >= mQuery.mDeadline) {
+      mHandOver.OnDeadline();
+      return;
     }
-    Respond(response, now);
+    mClient.Suspect(mTried[aExecution], aNow);
+    mHandOver.OnLost(aExecution, aWasSent, aNow);
   }
 
-  void Respond(const http_response& aResponse, model::instant aNow)
+  void Respond(const http_response& aResponse, const std::string& aRoot)
   {
     mQuery.mExchange->Respond(aResponse);
     if (!mQuery.mWorkspace.empty()) {
       CountRefusal(mClient.mMetrics,
                    mQuery.mWorkspace,
                    aResponse.mStatus,
-                   mOverloaded ? "roots overloaded" : "refused at the root");
+                   mRefused ? "roots overloaded" : "refused at the root");
     }
-    Log("relayed", aResponse.mStatus, aNow);
+    Log("relayed", aResponse.mStatus, aRoot);
   }
 
   void OnCallerLeft()
   {
-    mCallerLeft = true;
-    Log("caller_left", 0, event_loop::Now());
-    if (mChannel) {
-      mChannel->Cancel();
-    }
+    Log("caller_left", 0, mTried.empty() ? std::string() : mTried.back());
+    mHandOver.OnCallerLeft();
   }
 
   /** Adds an event and its age to the log line of the query. */
@@ -219,9 +283,10 @@
       .append(std::to_string(age.count()));
   }
 
-  void Log(const char* aOutcome, int aStatus, model::instant aNow) const
+  /** @param aRoot The root whose answer was passed on, or the last one. */
+  void Log(const char* aOutcome, int aStatus, const std::string& aRoot) const
   {
-    const auto latency = aNow - mQuery.mExchange->ReceivedAt();
+    const auto latency = event_loop::Now() - mQuery.mExchange->ReceivedAt();
     mClient.mMetrics.Count("relays",
                            { { "outcome", aOutcome }, { "reason", mReason } });
     mClient.mLog.Write(
@@ -234,7 +299,7 @@
         { "outcome", std::string(aOutcome) },
         { "status", static_cast<long>(aStatus) },
         { "ms", static_cast<double>(latency.count()) / 1000.0 },
-        { "root", mTried.empty() ? std::string() : mTried.back() },
+        { "root", aRoot },
         { "roots", static_cast<long>(mTried.size()) },
         { "history", mHistory },
         { "reason", std::string(mReason) } });
@@ -244,13 +309,10 @@
   relayed_query mQuery;
   fallback mFallback;
   std::shared_ptr<const leaf_request> mRequest;
-  std::vector<std::string> mTried; ///< Names of roots, the current one last.
-  std::unique_ptr<http_channel> mChannel;
-  loop_timer mTimer; ///< Ends the wait for the confirmation.
-  bool mConfirmed = false;
-  bool mMayHaveRun = false;
-  bool mOverloaded = false; ///< A root has refused the query.
-  bool mCallerLeft = false;
+  serving::hand_over mHandOver;
+  std::vector<std::string> mTried; ///< Names of roots, by execution.
+  std::vector<std::unique_ptr<execution>> mExecutions;
+  bool mRefused = false; ///< A root had no room for the query.
   const char* mReason = "";
   std::string mHistory; ///< Events with ms since the query arrived.
 };
--- a/src/gateway/relay_client_base.h
+++ b/src/gateway/relay_client_base.h
@@ -7,6 +7,7 @@
 
 #include "gateway/exchange_base.h"
 #include "gateway/leaf_attempt_type.h"
+#include "serving/attempt_grant_type.h"
 #include "serving/root_selection_func.h"
 
 #include <functional>
@@ -37,6 +38,7 @@
   std::string mWorkspace;           ///< Name of the caller's; empty: none.
   model::instant mAnswerBy; ///< When the caller needs an answer, if partial.
   model::instant mDeadline; ///< The caller waits no longer.
+  int mMaxAttempts = 1;     ///< At each shard, by all instances together.
 };
 
 /**
@@ -49,9 +51,8 @@
 class relay_client
 {
 public:
-  /** Executes the query at this instance.
-   * @param aMayHaveRun A root may have executed it. */
-  using fallback = std::function<void(bool aMayHaveRun)>;
+  /** Executes the query at this instance. */
+  using fallback = std::function<void(const serving::attempt_grant&)>;
 
   relay_client(event_loop& aLoop,
                const header_names& aHeaderNames,
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -258,11 +258,12 @@
   query.mAnswerBy =
     query_execution::PartialAnswerAt(mContext.mSettings, *aExchange, aPlan);
   query.mDeadline = aPlan.mDeadline;
+  query.mMaxAttempts = aPlan.mRoute->mMaxAttempts;
   mContext.mRelay.Send(
     std::move(query),
-    [this, aExchange, aPlan](bool aMayHaveRun) {
+    [this, aExchange, aPlan](const serving::attempt_grant& aGrant) {
       query_plan plan = aPlan;
-      plan.mIsResent = aMayHaveRun;
+      plan.mIsResent = aGrant.mIsResent;
       Execute(aExchange, std::move(plan));
     },
     aNow);
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -51,10 +51,11 @@
       query.mWorkspace = mTest.mWorkspace;
       query.mAnswerBy = now + milliseconds(60);
       query.mDeadline = now + milliseconds(900);
+      query.mMaxAttempts = 2;
       mTest.mClient.Send(
         std::move(query),
-        [this, aExchange](bool aMayHaveRun) {
-          mTest.mFallback = aMayHaveRun;
+        [this, aExchange](const serving::attempt_grant& aGrant) {
+          mTest.mFallback = aGrant.mIsResent;
           aExchange->Respond({ 200, {}, "direct" });
         },
         now);
