The attempts of a query are divided among its executions

Cause: each execution of a query kept to the route's attempts by its own count. A root may hedge, its receiver hears nothing for 20 ms and hands the query on, and the second execution makes one attempt more, a third one again. Any timer is wrong on some link; the fault is that two instances hold one allowance.

The receiver keeps the attempts and divides them before they are spent. An execution begins with one attempt a shard and asks for the rest 4 ms before its first hedge, or at its first retry; what one has got no other gets. Attempts come back only from a root that was sent nothing or refused. A root that does not confirm in time is no longer cancelled, so that its late answer is passed on. Where no attempt is left the query fails with 502 after 200 ms, in place of a third execution.

The tests of relay_client that were there pass without change of what they expect.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -28,15 +28,25 @@
 {
   if (mConnection != nullptr) {
     mOnCallerLeft = nullptr;
+    mOnSupplement = nullptr;
     mConnection->Respond(aResponse);
   }
 }
 
 void
-exchange::SendProcessing()
+exchange::SendProcessing(const std::vector<http_field>& aFields)
 {
   if (mConnection != nullptr) {
-    mConnection->SendProcessing();
+    mConnection->SendProcessing(aFields);
+  }
+}
+
+void
+exchange::Supplement(const http_message& aMessage)
+{
+  // A copy, since an answer resets the handler.
+  if (const auto handler = mOnSupplement) {
+    handler(aMessage);
   }
 }
 
@@ -85,12 +95,46 @@
   mUnread.append(aBytes);
   if (!mExchange) {
     ParseRequest();
-  } else if (mUnread.size() > kMaxUnreadBytes) {
+    return;
+  }
+  if (mServer.Handler().HasSupplements()) {
+    ReadAhead();
+  }
+  if (mUnread.size() > kMaxUnreadBytes) {
     mStream->StopReading();
     mReadingPaused = true;
   }
 }
 
+void
+caller_connection::ReadAhead()
+{
+  while (mExchange && !mUnread.empty() &&
+         mReader.State() < http_reader::state::Complete) {
+    mUnread.erase(0, mReader.Feed(mUnread));
+    if (mReader.State() == http_reader::state::Complete) {
+      TakeSupplement();
+    }
+  }
+}
+
+bool
+caller_connection::TakeSupplement()
+{
+  if (!mServer.Handler().IsSupplement(mReader.Message())) {
+    return false;
+  }
+  const http_message message = std::move(mReader.Message());
+  mReader.NextMessage();
+  mHeadStarted = false;
+  // The request may have been answered meanwhile. The handler may answer, which
+  // resets mExchange.
+  if (const exchange_ptr current = mExchange) {
+    current->Supplement(message);
+  }
+  return true;
+}
+
 void
 caller_connection::ParseRequest()
 {
@@ -118,7 +162,13 @@
     case http_reader::state::BodyTooLarge:
       return Refuse(413);
     case http_reader::state::Complete:
-      break;
+      if (!TakeSupplement()) {
+        break;
+      }
+      if (!mUnread.empty()) {
+        ParseRequest();
+      }
+      return;
   }
   mHeadStarted = false;
   mExpectHandled = false;
@@ -152,9 +202,13 @@
 }
 
 void
-caller_connection::SendProcessing()
+caller_connection::SendProcessing(const std::vector<http_field>& aFields)
 {
-  mStream->Write("HTTP/1.1 102 Processing\r\n\r\n");
+  std::string text = "HTTP/1.1 102 Processing\r\n";
+  for (const http_field& field : aFields) {
+    text.append(field.mName).append(": ").append(field.mValue).append("\r\n");
+  }
+  mStream->Write(text.append("\r\n"));
 }
 
 void
@@ -183,7 +237,7 @@
     mReadingPaused = false;
     mStream->StartReading();
   }
-  if (!mUnread.empty()) {
+  if (!mUnread.empty() || mReader.State() == http_reader::state::Complete) {
     // Deferred, since the handler that answered is still on the stack.
     mServer.Loop().Defer([server = &mServer, this] {
       if (server->HasConnection(*this) && !mExchange && !mLingering) {
--- a/src/gateway/caller_connection_base.h
+++ b/src/gateway/caller_connection_base.h
@@ -31,7 +31,8 @@
   void OnEnd(stream_end aEnd) override;
 
   void Respond(const http_response& aResponse);
-  void SendProcessing(); ///< Sends an interim answer.
+  /** Sends an interim answer. */
+  void SendProcessing(const std::vector<http_field>& aFields);
   void OnTick(model::instant aNow);
   bool Idle() const; ///< No request is being received or answered.
   /** Shuts down the write side, then waits for the caller to close. */
@@ -39,6 +40,11 @@
 
 private:
   void ParseRequest();
+  /** Reads the supplements of the current request. */
+  void ReadAhead();
+  /** @return False if the complete message is a request of its own.
+   * @pre There is a complete message. */
+  bool TakeSupplement();
   /** Answers an invalid or too slow request and closes. */
   void Refuse(int aStatus);
   void SendContinue();
--- a/src/gateway/exchange_base.h
+++ b/src/gateway/exchange_base.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace monsooncroft::gateway {
 
@@ -41,7 +42,7 @@
   /** Sends the answer; does nothing if the caller has disconnected. */
   void Respond(const http_response& aResponse);
   /** Sends an interim answer: the request is being handled. */
-  void SendProcessing();
+  void SendProcessing(const std::vector<http_field>& aFields = {});
   bool CallerLeft() const { return mConnection == nullptr; }
   /** Sets a handler that is called once if the caller closes its connection
    * before the answer. */
@@ -50,6 +51,14 @@
     mOnCallerLeft = std::move(aHandler);
   }
 
+  /** Sets a handler of the messages that supplement this request. */
+  void OnSupplement(std::function<void(const http_message&)> aHandler)
+  {
+    mOnSupplement = std::move(aHandler);
+  }
+  /** Passes a message on that was sent behind the request. */
+  void Supplement(const http_message& aMessage);
+
 private:
   friend class caller_connection;
 
@@ -60,6 +69,7 @@
   model::instant mReceivedAt;
   model::duration mCallerNetworkTime;
   std::function<void()> mOnCallerLeft;
+  std::function<void(const http_message&)> mOnSupplement;
 };
 
 using exchange_ptr = std::shared_ptr<exchange>;
@@ -76,6 +86,14 @@
   request_handler& operator=(request_handler&&) = delete;
 
   virtual void OnRequest(const exchange_ptr& aExchange) = 0;
+  /** Whether clients send messages behind a request that supplement it. These
+   * are read at once; other messages wait until the request is answered. */
+  virtual bool HasSupplements() const { return false; }
+  /** Whether a message supplements the request before it. */
+  virtual bool IsSupplement(const http_message& /*aMessage*/) const
+  {
+    return false;
+  }
 };
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/http_channel.cpp
+++ b/src/gateway/http_channel.cpp
@@ -59,6 +59,14 @@
   }
 }
 
+void
+http_channel::SendMore(std::string aBytes)
+{
+  if (Busy() && mStream && mConnected) {
+    mStream->Write(std::move(aBytes));
+  }
+}
+
 bool
 http_channel::HasUnreportedEvent() const
 {
@@ -89,11 +97,12 @@
   std::size_t consumed = mReader.Feed(aBytes);
   while (mReader.State() == http_reader::state::Complete &&
          mReader.Message().mStatus / 100 == 1) {
+    const http_message interim = std::move(mReader.Message());
     mReader.NextMessage();
     aBytes.remove_prefix(consumed);
     consumed = mReader.Feed(aBytes);
     if (mOnInterim) {
-      mOnInterim();
+      mOnInterim(interim);
     }
   }
   if (mReader.State() >= http_reader::state::Malformed) {
--- a/src/gateway/http_channel_base.h
+++ b/src/gateway/http_channel_base.h
@@ -31,7 +31,7 @@
   /** Called with the response, or nullopt if there is none. */
   using response_handler = std::function<void(std::optional<http_message>)>;
   /** Called for each interim response (1xx). */
-  using interim_handler = std::function<void()>;
+  using interim_handler = std::function<void(const http_message&)>;
 
   http_channel(event_loop& aLoop, model::endpoint aServer);
   ~http_channel() override;
@@ -44,6 +44,9 @@
             model::duration aTimeout,
             response_handler aOnResponse,
             interim_handler aOnInterim = nullptr);
+  /** Sends a further message during a call; does nothing without a
+   * connection. */
+  void SendMore(std::string aBytes);
   /** Ends the call in progress, if any, without a response. */
   void Cancel();
   bool Busy() const { return mOnResponse != nullptr; }
--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -9,16 +9,26 @@
 #include "gateway/leaf_table_base.h"
 #include "gateway/permit_client_base.h"
 #include "gateway/query_settings_type.h"
+#include "gateway/relay_fields_type.h"
 #include "gateway/request_head_func.h"
 #include "model/time_func.h"
 #include "serving/hedge_rule_func.h"
 #include "serving/shard_omission_func.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace monsooncroft::gateway {
 
+namespace {
+
+/** Time before a hedge at which a root asks for the attempts that it needs: a
+ * round trip between data centres. */
+constexpr std::chrono::milliseconds kGrantTime{ 4 };
+
+} // namespace
+
 query_execution::query_execution(const query_context& aContext,
                                  exchange_ptr aExchange,
                                  query_plan aPlan)
@@ -37,6 +47,12 @@
   mRequirements.mPartialAnswerAt =
     PartialAnswerAt(mContext.mSettings, *mExchange, mPlan);
   mRequirements.mDeadline = mPlan.mDeadline;
+  mMaxAttempts = route.mMaxAttempts;
+  if (mPlan.mGrant) {
+    mMaxAttempts = std::clamp(mPlan.mGrant->mAttempts, 1, mMaxAttempts);
+    mReservedAttempts =
+      std::min(mPlan.mGrant->mReserved, route.mMaxAttempts - mMaxAttempts);
+  }
 }
 
 model::instant
@@ -74,7 +90,15 @@
       run->Finish(nullptr, "caller_left", event_loop::Now());
     }
   });
-  if (mPlan.mIsResent) {
+  if (mReservedAttempts > 0) {
+    mExchange->OnSupplement(
+      [weak = weak_from_this()](const http_message& aMessage) {
+        if (const auto run = weak.lock()) {
+          run->OnGrant(aMessage, event_loop::Now());
+        }
+      });
+  }
+  if (mPlan.IsResent()) {
     mMayHaveRun = true;
     TakeResendBudget(now);
   } else {
@@ -214,7 +238,8 @@
 query_execution::StartAttempt(std::size_t aShardIndex, model::instant aNow)
 {
   leaf_endpoint* leaf = ChooseLeaf(aShardIndex, false, aNow);
-  if (leaf == nullptr && IsUnavailable(aShardIndex, aNow)) {
+  if (mShards[aShardIndex].mAttemptCount >= mMaxAttempts ||
+      (leaf == nullptr && IsUnavailable(aShardIndex, aNow))) {
     FailShard(aShardIndex, aNow);
     return false;
   }
@@ -442,11 +467,7 @@
     return;
   }
   if (shard.mOutstanding.empty()) {
-    if (MayRetry(index, mayHaveRun, now)) {
-      StartAttempt(index, now);
-    } else {
-      FailShard(index, now);
-    }
+    Retry(index, mayHaveRun, now);
   }
   if (!mDone) {
     Evaluate(now);
@@ -487,22 +508,105 @@
   mLeafFailure = std::move(aAnswer);
 }
 
-bool
-query_execution::MayRetry(std::size_t aShardIndex,
-                          bool aMayHaveRun,
-                          model::instant aNow)
+void
+query_execution::Retry(std::size_t aShardIndex,
+                       bool aMayHaveRun,
+                       model::instant aNow)
 {
   const shard_state& shard = mShards[aShardIndex];
   const serving::route& route = *mPlan.mRoute;
   const bool runOnce = route.mRepeatability == serving::repeatability::RunOnce;
   if ((runOnce && aMayHaveRun) || aNow >= mRequirements.mDeadline) {
-    return false;
+    FailShard(aShardIndex, aNow);
+    return;
   }
   if (shard.mAttemptCount == 0) {
-    return true;
+    StartAttempt(aShardIndex, aNow);
+    return;
+  }
+  switch (PermitExtraAttempt(aShardIndex)) {
+    case extra_attempt::Permitted:
+      if (TakeBudget(
+            aShardIndex, serving::retry_budget::purpose::Retry, aNow)) {
+        StartAttempt(aShardIndex, aNow);
+      } else {
+        FailShard(aShardIndex, aNow);
+      }
+      return;
+    case extra_attempt::AwaitsGrant:
+      return;
+    case extra_attempt::Denied:
+      FailShard(aShardIndex, aNow);
+      return;
+  }
+}
+
+query_execution::extra_attempt
+query_execution::PermitExtraAttempt(std::size_t aShardIndex)
+{
+  shard_state& shard = mShards[aShardIndex];
+  if (mPlan.mSingleAttempt) {
+    return extra_attempt::Denied;
+  }
+  if (shard.mAttemptCount < mMaxAttempts) {
+    return extra_attempt::Permitted;
+  }
+  if (shard.mAttemptCount >= mMaxAttempts + mReservedAttempts) {
+    return extra_attempt::Denied;
+  }
+  shard.mAwaitsGrant = true;
+  shard.mHedgeAt = mRequirements.mDeadline;
+  AskForAttempts();
+  return extra_attempt::AwaitsGrant;
+}
+
+void
+query_execution::AskForAttempts()
+{
+  if (!std::exchange(mAskedForAttempts, true)) {
+    mExchange->SendProcessing(
+      { { relay_fields::kAttempts, std::to_string(mReservedAttempts) } });
+  }
+}
+
+model::instant
+query_execution::WakeTime(const shard_state& aShard) const
+{
+  const bool asksEarly = mReservedAttempts > 0 && !mAskedForAttempts &&
+                         !mPlan.mSingleAttempt && !aShard.mOutstanding.empty();
+  return asksEarly ? aShard.mHedgeAt - kGrantTime : aShard.mHedgeAt;
+}
+
+void
+query_execution::OnGrant(const http_message& aMessage, model::instant aNow)
+{
+  const std::string* id = aMessage.Find(relay_fields::kGrant);
+  const std::string* attempts = aMessage.Find(relay_fields::kAttempts);
+  if (mDone || id == nullptr || *id != mPlan.mRequestId ||
+      attempts == nullptr) {
+    return;
+  }
+  int granted = 0;
+  std::from_chars(
+    attempts->data(), attempts->data() + attempts->size(), granted);
+  mMaxAttempts += std::clamp(granted, 0, mReservedAttempts);
+  mReservedAttempts = 0;
+  for (std::size_t index = 0; index < mShards.size() && !mDone; ++index) {
+    shard_state& shard = mShards[index];
+    if (!std::exchange(shard.mAwaitsGrant, false) || shard.mAnswered ||
+        shard.mFailed) {
+      continue;
+    }
+    if (shard.mOutstanding.empty()) {
+      // Requests through roots may be repeated.
+      Retry(index, true, aNow);
+    } else {
+      Hedge(index, aNow);
+    }
+  }
+  if (!mDone) {
+    Evaluate(aNow);
   }
-  return shard.mAttemptCount < route.mMaxAttempts && !mPlan.mSingleAttempt &&
-         TakeBudget(aShardIndex, serving::retry_budget::purpose::Retry, aNow);
 }
 
 bool
@@ -523,16 +627,21 @@
   shard.mHedgeAt = mRequirements.mDeadline;
   const serving::route& route = *mPlan.mRoute;
   if (route.mRepeatability == serving::repeatability::RunOnce ||
-      mPlan.mSingleAttempt || shard.mAttemptCount >= route.mMaxAttempts) {
+      mPlan.mSingleAttempt ||
+      shard.mAttemptCount >= mMaxAttempts + mReservedAttempts) {
     return;
   }
   leaf_endpoint* leaf = ChooseLeaf(aShardIndex, true, aNow);
-  if (leaf == nullptr ||
-      !serving::HedgeIsUseful(
-        mRequirements,
-        leaf->Load().ExpectedLatency(mPlan.mLatency->Mean(), aNow),
-        mPlan.mLatency->HighQuantile(),
-        aNow) ||
+  const bool useful =
+    leaf != nullptr && serving::HedgeIsUseful(mRequirements,
+                                              leaf->Load().ExpectedLatency(
+                                                mPlan.mLatency->Mean(), aNow),
+                                              mPlan.mLatency->HighQuantile(),
+                                              aNow);
+  if (useful && PermitExtraAttempt(aShardIndex) == extra_attempt::AwaitsGrant) {
+    return;
+  }
+  if (!useful ||
       !TakeBudget(aShardIndex, serving::retry_budget::purpose::Hedge, aNow)) {
     shard.mHedgeAt = aNow + mContext.mSettings.mLeafRetryDelay;
     return;
@@ -550,7 +659,12 @@
   mWakeAt = model::instant();
   for (std::size_t index = 0; index < mShards.size() && !mDone; ++index) {
     shard_state& shard = mShards[index];
-    if (shard.mAnswered || shard.mFailed || now < shard.mHedgeAt) {
+    if (shard.mAnswered || shard.mFailed || shard.mAwaitsGrant ||
+        now < WakeTime(shard)) {
+      continue;
+    }
+    if (now < shard.mHedgeAt) {
+      AskForAttempts();
       continue;
     }
     if (shard.mOutstanding.empty()) {
--- a/src/gateway/query_execution_answer.cpp
+++ b/src/gateway/query_execution_answer.cpp
@@ -53,7 +53,7 @@
   }
   for (const shard_state& shard : mShards) {
     if (!shard.mAnswered && !shard.mFailed) {
-      wakeAt = std::min(wakeAt, shard.mHedgeAt);
+      wakeAt = std::min(wakeAt, WakeTime(shard));
     }
   }
   if (wakeAt == mWakeAt) {
@@ -154,30 +154,10 @@
   if (aResponse != nullptr && mAnsweredShards > 0) {
     mPlan.mLatency->AddAnswerTime(answerTime);
   }
-  mContext.mLog.Write(
-    ops::log_level::Info,
-    "request",
-    { { "request", mPlan.mRequestId },
-      { "route", mPlan.mRoute->mName },
-      { "workspace", mPlan.WorkspaceName() },
-      { "config", static_cast<long>(mPlan.mConfig->Version()) },
-      { "outcome", std::string(aOutcome) },
-      { "status",
-        static_cast<long>(aResponse == nullptr ? 0 : aResponse->mStatus) },
-      { "ms", static_cast<double>(latency.count()) / 1000.0 },
-      { "answer_ms", static_cast<double>(answerTime.count()) / 1000.0 },
-      { "answered", static_cast<long>(mAnsweredShards) },
-      { "total", static_cast<long>(mShards.size()) },
-      { "sends", static_cast<long>(mAttemptCount) },
-      { "hedges", static_cast<long>(mHedgeCount) },
-      { "omitted", static_cast<long>(mOmittedShards) },
-      { "resent", static_cast<long>(mPlan.mIsResent) },
-      { "budget_denied", static_cast<long>(mDeniedAttempts) },
-      { "budget_instances",
-        static_cast<long>(mContext.mRetryBudget.InstanceCount()) },
-      { "extra", FormatExtraAttempts() },
-      { "missing", FormatMissingShards() },
-      { "reason", std::string(mLastReason) } });
+  LogEnd(aResponse == nullptr ? 0 : aResponse->mStatus,
+         aOutcome,
+         latency,
+         answerTime);
   mContext.mMetrics.Count("requests",
                           { { "route", mPlan.mRoute->mName },
                             { "outcome", aOutcome },
@@ -206,6 +186,39 @@
   mContext.mLoop.Defer([self = std::move(mSelf)] {});
 }
 
+void
+query_execution::LogEnd(int aStatus,
+                        const char* aOutcome,
+                        model::duration aLatency,
+                        model::duration aAnswerTime) const
+{
+  mContext.mLog.Write(
+    ops::log_level::Info,
+    "request",
+    { { "request", mPlan.mRequestId },
+      { "route", mPlan.mRoute->mName },
+      { "workspace", mPlan.WorkspaceName() },
+      { "config", static_cast<long>(mPlan.mConfig->Version()) },
+      { "outcome", std::string(aOutcome) },
+      { "status", static_cast<long>(aStatus) },
+      { "ms", static_cast<double>(aLatency.count()) / 1000.0 },
+      { "answer_ms", static_cast<double>(aAnswerTime.count()) / 1000.0 },
+      { "answered", static_cast<long>(mAnsweredShards) },
+      { "total", static_cast<long>(mShards.size()) },
+      { "sends", static_cast<long>(mAttemptCount) },
+      { "hedges", static_cast<long>(mHedgeCount) },
+      { "omitted", static_cast<long>(mOmittedShards) },
+      { "max_attempts", static_cast<long>(mMaxAttempts) },
+      { "asked", static_cast<long>(mAskedForAttempts) },
+      { "resent", static_cast<long>(mPlan.IsResent()) },
+      { "budget_denied", static_cast<long>(mDeniedAttempts) },
+      { "budget_instances",
+        static_cast<long>(mContext.mRetryBudget.InstanceCount()) },
+      { "extra", FormatExtraAttempts() },
+      { "missing", FormatMissingShards() },
+      { "reason", std::string(mLastReason) } });
+}
+
 std::string
 query_execution::FormatExtraAttempts() const
 {
--- a/src/gateway/query_execution_base.h
+++ b/src/gateway/query_execution_base.h
@@ -52,6 +52,8 @@
     bool mHeld = false;    ///< Not sent before the other shards have permits.
     /** The only outstanding attempt waits for a permit. */
     bool mAwaitsPermit = false;
+    /** A hedge or retry waits for the answer to a request for attempts. */
+    bool mAwaitsGrant = false;
     /** Expected latency when the shard was omitted. */
     model::duration mExpectedLatency{ 0 };
     model::instant mHedgeAt;
@@ -80,7 +82,22 @@
                    leaf_endpoint& aLeaf,
                    bool aIsHedge,
                    model::instant aNow);
-  bool MayRetry(std::size_t aShardIndex, bool aMayHaveRun, model::instant aNow);
+  /** Whether a further attempt at a shard is within those of the query. */
+  enum class extra_attempt : std::uint8_t
+  {
+    Permitted,
+    AwaitsGrant, ///< The instance that sent the query has been asked.
+    Denied,
+  };
+
+  /** Handles a shard without an attempt in flight after one that has ended. */
+  void Retry(std::size_t aShardIndex, bool aMayHaveRun, model::instant aNow);
+  extra_attempt PermitExtraAttempt(std::size_t aShardIndex);
+  void AskForAttempts(); ///< Asks the instance that sent the query, once.
+  /** When something is to be done for a shard that has no answer. */
+  model::instant WakeTime(const shard_state& aShard) const;
+  /** The instance that sent the query answers a request for attempts. */
+  void OnGrant(const http_message& aMessage, model::instant aNow);
   /** Takes an extra attempt from the retry budget. */
   bool TakeBudget(std::size_t aShardIndex,
                   serving::retry_budget::purpose aPurpose,
@@ -98,6 +115,11 @@
   void Finish(const http_response* aResponse,
               const char* aOutcome,
               model::instant aNow);
+  /** @param aStatus Of the answer; 0: there is none. */
+  void LogEnd(int aStatus,
+              const char* aOutcome,
+              model::duration aLatency,
+              model::duration aAnswerTime) const;
   /** Shards with several attempts, with the leaves that were tried. */
   std::string FormatExtraAttempts() const;
   /** Unanswered shards with the leaves that were tried. */
@@ -113,6 +135,10 @@
   serving::answer_requirements mRequirements;
   std::size_t mAnsweredShards = 0;
   std::size_t mFailedShards = 0;
+  int mMaxAttempts = 1; ///< Attempts that may be made at each shard.
+  /** Further ones that the instance that sent the query has not granted yet. */
+  int mReservedAttempts = 0;
+  bool mAskedForAttempts = false;
   int mAttemptCount = 0;
   int mHedgeCount = 0;
   int mOmittedShards = 0;
--- a/src/gateway/query_plan_type.h
+++ b/src/gateway/query_plan_type.h
@@ -5,6 +5,7 @@
 #ifndef MONSOONCROFT_GATEWAY_QUERY_PLAN_TYPE_H
 #define MONSOONCROFT_GATEWAY_QUERY_PLAN_TYPE_H
 
+#include "serving/attempt_grant_type.h"
 #include "serving/route_latency_type.h"
 #include "serving/routing_config_base.h"
 
@@ -36,9 +37,12 @@
   /** Time until a partial answer is sent, for a query of another instance;
    * nothing if it follows from the caller's network time. */
   std::optional<model::duration> mAnswerWithin;
-  /** Another instance may have executed the query before: each attempt counts
-   * as a retry. */
-  bool mIsResent = false;
+  /** Attempts of this execution; nothing: those that the route allows. If
+   * another instance may have executed the query before, each attempt counts as
+   * a retry. */
+  std::optional<serving::attempt_grant> mGrant;
+
+  bool IsResent() const { return mGrant && mGrant->mIsResent; }
 
   /** Empty without a workspace. */
   std::string WorkspaceName() const
--- a/src/gateway/relay_client.cpp
+++ b/src/gateway/relay_client.cpp
@@ -49,6 +49,12 @@
     , mQuery(std::move(aQuery))
     , mFallback(std::move(aFallback))
     , mHandOver(mQuery.mMaxAttempts, *this)
+    , mTimer(aClient.mLoop, [this] {
+      const auto self = shared_from_this();
+      const model::instant now = event_loop::Now();
+      mHandOver.OnTimer(now);
+      UpdateTimer(now); // Timers may run up to a millisecond early.
+    })
   {
   }
 
@@ -92,10 +98,24 @@
       [self = shared_from_this(), index](std::optional<http_message> aAnswer) {
         self->OnResponse(index, std::move(aAnswer));
       },
-      [this, index] { OnInterim(index); });
+      [this, index](const http_message& aInterim) {
+        OnInterim(index, aInterim);
+      });
     return true;
   }
 
+  void Grant(std::size_t aExecution, int aAttempts) override
+  {
+    NoteEvent("granted " + std::to_string(aAttempts), event_loop::Now());
+    mClient.mMetrics.Count("relay_grants",
+                           { { "attempts", std::to_string(aAttempts) } });
+    std::string text = "POST / HTTP/1.1\r\n";
+    AddField(text, relay_fields::kGrant, mQuery.mRequestId);
+    AddField(text, relay_fields::kAttempts, std::to_string(aAttempts));
+    mExecutions[aExecution]->mChannel->SendMore(
+      text.append("Content-Length: 0\r\n\r\n"));
+  }
+
   void Cancel(std::size_t aExecution) override
   {
     // Null if the response is what ended the query.
@@ -106,8 +126,7 @@
 
   void Answer(std::size_t aExecution) override
   {
-    http_response response =
-      ForwardedAnswer(*mExecutions[aExecution]->mAnswer);
+    http_response response = ForwardedAnswer(*mExecutions[aExecution]->mAnswer);
     if (MeansNotRun(response.mStatus) &&
         mHandOver.MayHaveRunBeside(aExecution)) {
       response = { 502, {}, {} };
@@ -177,13 +196,17 @@
              std::to_string(mQuery.mConfigVersion));
     AddField(
       text, relay_fields::kAnswerWithinUs, std::to_string(within.count()));
+    AddField(text, relay_fields::kAttempts, std::to_string(aGrant.mAttempts));
+    if (aGrant.mReserved > 0) {
+      AddField(text, relay_fields::kReserved, std::to_string(aGrant.mReserved));
+    }
     if (aGrant.mIsResent) {
       AddField(text, relay_fields::kResent, "1");
     }
     return text.append("\r\n").append(mRequest->mBody);
   }
 
-  void OnInterim(std::size_t aExecution)
+  void OnInterim(std::size_t aExecution, const http_message& aInterim)
   {
     execution& current = *mExecutions[aExecution];
     current.mTimer.Stop();
@@ -191,6 +214,10 @@
       NoteEvent("confirmed", event_loop::Now());
       mHandOver.OnConfirmed(aExecution);
     }
+    if (aInterim.Find(relay_fields::kAttempts) != nullptr) {
+      mHandOver.OnAttemptsWanted(aExecution);
+    }
+    UpdateTimer(event_loop::Now());
   }
 
   void OnConfirmationTimer(std::size_t aExecution)
@@ -213,6 +240,7 @@
     mReason = "not confirmed";
     NoteEvent(sentAt ? "unconfirmed" : "not sent", now);
     mHandOver.OnUnconfirmed(aExecution, sentAt.has_value(), now);
+    UpdateTimer(now);
   }
 
   void OnResponse(std::size_t aExecution, std::optional<http_message> aAnswer)
@@ -236,9 +264,11 @@
       mClient.mMetrics.Count("relays_refused");
       mHandOver.OnRefused(aExecution, overloaded, now);
     } else {
+      const bool succeeded = aAnswer->mStatus / 100 == 2;
       current.mAnswer = std::move(aAnswer);
-      mHandOver.OnAnswer(aExecution);
+      mHandOver.OnAnswer(aExecution, succeeded, now);
     }
+    UpdateTimer(now);
   }
 
   void OnNoAnswer(std::size_t aExecution, bool aWasSent, model::instant aNow)
@@ -254,6 +284,15 @@
     mHandOver.OnLost(aExecution, aWasSent, aNow);
   }
 
+  void UpdateTimer(model::instant aNow)
+  {
+    if (const auto wake = mHandOver.NextWake()) {
+      mTimer.Start(std::max<model::duration>(*wake - aNow, {}));
+    } else {
+      mTimer.Stop();
+    }
+  }
+
   void Respond(const http_response& aResponse, const std::string& aRoot)
   {
     mQuery.mExchange->Respond(aResponse);
@@ -270,6 +309,7 @@
   {
     Log("caller_left", 0, mTried.empty() ? std::string() : mTried.back());
     mHandOver.OnCallerLeft();
+    UpdateTimer(event_loop::Now());
   }
 
   /** Adds an event and its age to the log line of the query. */
@@ -312,6 +352,7 @@
   serving::hand_over mHandOver;
   std::vector<std::string> mTried; ///< Names of roots, by execution.
   std::vector<std::unique_ptr<execution>> mExecutions;
+  loop_timer mTimer;     ///< Of mHandOver.
   bool mRefused = false; ///< A root had no room for the query.
   const char* mReason = "";
   std::string mHistory; ///< Events with ms since the query arrived.
--- a/src/gateway/relay_fields_type.h
+++ b/src/gateway/relay_fields_type.h
@@ -15,6 +15,15 @@
 constexpr const char* kResent = "Relay-Resent";
 /** Name of the caller's workspace. */
 constexpr const char* kWorkspace = "Relay-Workspace";
+/** Attempts at each shard: with a query, how many the root may make; in an
+ * interim answer, how many more it asks for; in a grant, how many more it may
+ * make, perhaps none. */
+constexpr const char* kAttempts = "Relay-Attempts";
+/** With a query: further attempts that the root may ask for. */
+constexpr const char* kReserved = "Relay-Attempts-Reserved";
+/** Present in a grant, which is sent behind the query and not answered: id of
+ * the query's request. */
+constexpr const char* kGrant = "Relay-Grant";
 /** All fields between instances begin with this. */
 constexpr const char* kPrefix = "Relay-";
 /** Reason for which a root has not executed a query. */
--- a/src/gateway/relay_handler.cpp
+++ b/src/gateway/relay_handler.cpp
@@ -33,6 +33,12 @@
   mDispatcher.OnRelayedRequest(aExchange);
 }
 
+bool
+relay_handler::IsSupplement(const http_message& aMessage) const
+{
+  return aMessage.Find(relay_fields::kGrant) != nullptr;
+}
+
 bool
 relay_handler::HasRoom(const std::string& aWorkspace, std::size_t aInProgress)
 {
--- a/src/gateway/relay_handler_base.h
+++ b/src/gateway/relay_handler_base.h
@@ -32,6 +32,8 @@
   }
 
   void OnRequest(const exchange_ptr& aExchange) override;
+  bool HasSupplements() const override { return true; }
+  bool IsSupplement(const http_message& aMessage) const override;
 
 private:
   /** A query of a workspace that was admitted; over if it has been answered. */
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -258,12 +258,12 @@
   query.mAnswerBy =
     query_execution::PartialAnswerAt(mContext.mSettings, *aExchange, aPlan);
   query.mDeadline = aPlan.mDeadline;
-  query.mMaxAttempts = aPlan.mRoute->mMaxAttempts;
+  query.mMaxAttempts = aPlan.mSingleAttempt ? 1 : aPlan.mRoute->mMaxAttempts;
   mContext.mRelay.Send(
     std::move(query),
     [this, aExchange, aPlan](const serving::attempt_grant& aGrant) {
       query_plan plan = aPlan;
-      plan.mIsResent = aGrant.mIsResent;
+      plan.mGrant = aGrant;
       Execute(aExchange, std::move(plan));
     },
     aNow);
@@ -310,6 +310,8 @@
   const auto version = takeNumber(relay_fields::kConfigVersion);
   const auto within = takeNumber(relay_fields::kAnswerWithinUs);
   const bool isResent = takeNumber(relay_fields::kResent).has_value();
+  const auto attempts = takeNumber(relay_fields::kAttempts);
+  const auto reserved = takeNumber(relay_fields::kReserved);
   const auto workspaceName = take(relay_fields::kWorkspace);
   const std::string* host = request.Find("Host");
   const std::string* id = request.Find(mContext.mHeaderNames.mRequestId);
@@ -347,11 +349,14 @@
   plan.mServices = plan.mRoute->mShards;
   plan.mLatency = LatencyOf(*plan.mRoute);
   plan.mRequestId = *id;
-  plan.mSingleAttempt =
-    isResent || permit != once::screening_permit::Unrestricted;
+  plan.mSingleAttempt = permit != once::screening_permit::Unrestricted;
   plan.mDeadline = aExchange->ReceivedAt() + *timeout;
   plan.mAnswerWithin = model::duration(*within);
-  plan.mIsResent = isResent;
+  // An instance of an earlier version does not say how many.
+  const long usual = isResent ? 1 : plan.mRoute->mMaxAttempts;
+  plan.mGrant = { static_cast<int>(attempts.value_or(usual)),
+                  static_cast<int>(reserved.value_or(0)),
+                  isResent };
   Execute(aExchange, std::move(plan));
 }
 
--- a/src/serving/hand_over_actions_base.h
+++ b/src/serving/hand_over_actions_base.h
@@ -27,6 +27,9 @@
    * follow after this call.
    * @return False if there is no such root. */
   virtual bool SendToRoot(const attempt_grant& aGrant) = 0;
+  /** Answers a root that asked for attempts.
+   * @param aAttempts Further attempts that it may make at each shard. */
+  virtual void Grant(std::size_t aExecution, int aAttempts) = 0;
   /** Ends an execution whose outcome does not matter any more. */
   virtual void Cancel(std::size_t aExecution) = 0;
 
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -51,7 +51,7 @@
       query.mWorkspace = mTest.mWorkspace;
       query.mAnswerBy = now + milliseconds(60);
       query.mDeadline = now + milliseconds(900);
-      query.mMaxAttempts = 2;
+      query.mMaxAttempts = mTest.mMaxAttempts;
       mTest.mClient.Send(
         std::move(query),
         [this, aExchange](const serving::attempt_grant& aGrant) {
@@ -99,6 +99,7 @@
 
   std::string mWorkspace; ///< Of the callers; empty: there are none.
   std::vector<serving::root_address> mAddresses;
+  int mMaxAttempts = 2;          ///< Of the queries' route.
   std::optional<bool> mFallback; ///< Whether the query may have run.
   /** Time for which the instance does nothing else after it has started to hand
    * a query over. */
@@ -272,6 +273,76 @@
   EXPECT_FALSE(mFallback);
 }
 
+/** Two roots that did not confirm a query could both execute it, with more
+ * attempts than its route allows; then its receiver did so as well. */
+TEST_F(relay_test, AQueryIsNotHandedOverWithoutAttemptsLeft)
+{
+  const auto silent = [](auto& /*aConnection*/, const auto& /*aRequest*/) {};
+  fake_leaf& first = AddRoot(silent);
+  fake_leaf& second = AddRoot(silent);
+  mMaxAttempts = 1;
+  EXPECT_EQ(SendRequest("/all/x", "r").mStatus, 502);
+  EXPECT_EQ(first.mRequests, 1);
+  EXPECT_EQ(second.mRequests, 0);
+  EXPECT_FALSE(mFallback);
+  RunFor(milliseconds(2'100)); // The first root is used again.
+  mMaxAttempts = 2;
+  EXPECT_EQ(SendRequest("/all/x", "r").mStatus, 502);
+  EXPECT_EQ(first.mRequests, 2);
+  EXPECT_EQ(second.mRequests, 1);
+  EXPECT_FALSE(mFallback);
+}
+
+/** A root whose confirmation was late had executed the query; its answer was
+ * thrown away. */
+TEST_F(relay_test, TheAnswerOfARootThatConfirmedTooLateIsPassedOn)
+{
+  std::unique_ptr<loop_timer> delay;
+  AddRoot([&](auto& aConnection, const auto& /*aRequest*/) {
+    delay = std::make_unique<loop_timer>(mLoop, [&aConnection] {
+      aConnection.Write(kConfirmation + Result(200, ""));
+    });
+    delay->Start(milliseconds(80));
+  });
+  fake_leaf& second =
+    AddRoot([](auto& /*aConnection*/, const auto& /*aRequest*/) {});
+  const http_message answer = SendRequest("/all/x", "r");
+  EXPECT_EQ(answer.mStatus, 200);
+  EXPECT_EQ(answer.mBody, "ok");
+  ASSERT_EQ(second.mRequests, 1);
+  EXPECT_TRUE(second.mConnections.front()->Ended()); // Cancels the query.
+}
+
+/** The instance that received the query divides its attempts: a root that was
+ * given all of them is not replaced. */
+TEST_F(relay_test, ARootAsksForTheAttemptsOfItsHedges)
+{
+  std::vector<http_message> received;
+  std::string last = Result(200, "");
+  AddRoot([&](auto& aConnection, const auto& aRequest) {
+    received.push_back(aRequest);
+    if (received.size() == 1) {
+      aConnection.Write(kConfirmation + "HTTP/1.1 102 Processing\r\n"
+                                        "Relay-Attempts: 1\r\n\r\n");
+    } else if (last.empty()) {
+      aConnection.Reset();
+    } else {
+      aConnection.Write(last);
+    }
+  });
+  AddRoot(Answering(kConfirmation + Result(200, "")));
+  EXPECT_EQ(SendRequest("/all/x", "r").mStatus, 200);
+  ASSERT_EQ(received.size(), 2U);
+  EXPECT_EQ(*received[0].Find("Relay-Attempts"), "1");
+  EXPECT_EQ(*received[0].Find("Relay-Attempts-Reserved"), "1");
+  EXPECT_EQ(*received[1].Find("Relay-Grant"), "r");
+  EXPECT_EQ(*received[1].Find("Relay-Attempts"), "1");
+  received.clear();
+  last.clear();
+  EXPECT_EQ(SendRequest("/all/x", "r").mStatus, 502);
+  EXPECT_FALSE(mFallback);
+}
+
 TEST_F(relay_test, ARootThatRefusesConnectionsHasNotRunTheQuery)
 {
   AddRoot(Answering("")).Stop();
@@ -551,6 +622,95 @@
   EXPECT_EQ(received.size(), 2U);
 }
 
+/** Guards against a root that spends attempts which its receiver has kept for
+ * another execution: the leaves then run the query more often than its route
+ * allows. */
+TEST_F(root_test, ARootMakesNoMoreAttemptsThanItWasGranted)
+{
+  int sent = 0;
+  const auto count = [&](auto& /*aConnection*/, const auto& /*aRequest*/) {
+    ++sent;
+  };
+  mLeaves.front()->mOnRequest = count;
+  AddLeaf("s1", count);
+  AddLeaf("s1", count);
+  mRootStore.mLeaves = mStore.mLeaves;
+  mRootStore.mContent = mStore.mContent;
+  StartBoth();
+  http_channel channel(mLoop, mRootSettings.mRelayAddress);
+  std::string asked;
+  channel.Call(
+    "GET /all/x HTTP/1.1\r\nHost: h\r\nX-Id: q\r\n"
+    "Relay-Config: 1\r\nRelay-Answer-Within: 150000\r\n"
+    "Relay-Attempts: 1\r\nRelay-Attempts-Reserved: 1\r\n\r\n",
+    seconds(3),
+    [](const std::optional<http_message>& /*aAnswer*/) {},
+    [&](const http_message& aInterim) {
+      const std::string* attempts = aInterim.Find("Relay-Attempts");
+      asked = attempts == nullptr ? "" : *attempts;
+    });
+  RunFor(milliseconds(300));
+  EXPECT_EQ(sent, 1);
+  EXPECT_EQ(asked, "1");
+  const std::string grant = "POST / HTTP/1.1\r\nRelay-Grant: q\r\n"
+                            "Relay-Attempts: 1\r\nContent-Length: 0\r\n\r\n";
+  channel.SendMore(grant);
+  RunFor(milliseconds(300));
+  EXPECT_EQ(sent, 2);
+  channel.SendMore(grant); // Another one, which it must not use.
+  RunFor(milliseconds(300));
+  EXPECT_EQ(sent, 2);
+}
+
+/** A shard whose retry was not granted held the answer back until the deadline.
+ */
+TEST_F(root_test, AnExecutionEndsIfItsRetriesAreNotGranted)
+{
+  mLeaves.front()->mOnRequest =
+    [](auto& aConnection, const auto& /*aRequest*/) { aConnection.Reset(); };
+  StartBoth();
+  http_channel channel(mLoop, mRootSettings.mRelayAddress);
+  int status = 0;
+  channel.Call(
+    "GET /all/x HTTP/1.1\r\nHost: h\r\nX-Id: q\r\n"
+    "Relay-Config: 1\r\nRelay-Answer-Within: 150000\r\n"
+    "Relay-Attempts: 1\r\nRelay-Attempts-Reserved: 1\r\n\r\n",
+    seconds(3),
+    [&](const std::optional<http_message>& aAnswer) {
+      status = aAnswer ? aAnswer->mStatus : -1;
+    },
+    [&](const http_message& aInterim) {
+      if (aInterim.Find("Relay-Attempts") != nullptr) {
+        channel.SendMore(
+          "POST / HTTP/1.1\r\nRelay-Grant: q\r\nRelay-Attempts: 0"
+          "\r\nContent-Length: 0\r\n\r\n");
+      }
+    });
+  RunFor(milliseconds(200));
+  EXPECT_EQ(status, 502);
+}
+
+/** A grant that arrived behind the answer was taken for a request. */
+TEST_F(root_test, AGrantBehindTheAnswerIsIgnored)
+{
+  StartBoth();
+  http_channel channel(mLoop, mRootSettings.mRelayAddress);
+  const std::string grant = "POST / HTTP/1.1\r\nRelay-Grant: q\r\n"
+                            "Relay-Attempts: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::string query = "GET /all/x HTTP/1.1\r\nHost: h\r\nX-Id: q\r\n"
+                            "Relay-Config: 1\r\nRelay-Attempts: 1\r\n"
+                            "Relay-Answer-Within: 50000\r\n\r\n";
+  for (const std::string& text : { query, grant + query, grant + query }) {
+    int status = 0;
+    channel.Call(
+      text, seconds(1), [&](const std::optional<http_message>& aAnswer) {
+        status = aAnswer ? aAnswer->mStatus : -1;
+      });
+    RunFor(milliseconds(150));
+    EXPECT_EQ(status, 200);
+  }
+}
+
 /** Queries of one workspace took all room of a root, so that those of the
  * others were refused. */
 TEST_F(root_test, OneWorkspaceDoesNotTakeAllRoomOfARoot)
@@ -574,7 +734,9 @@
         aWorkspace + "\r\n\r\n",
       seconds(3),
       [](const std::optional<http_message>& /*aAnswer*/) {},
-      [&accepted, aWorkspace] { ++accepted[aWorkspace]; });
+      [&accepted, aWorkspace](const http_message& /*aInterim*/) {
+        ++accepted[aWorkspace];
+      });
   };
   for (int query = 0; query < 30; ++query) {
     hand("acme");
--- a/test/serving/hand_over_test.cpp
+++ b/test/serving/hand_over_test.cpp
@@ -49,9 +49,8 @@
           mNodes[node].mFrozenFrom + milliseconds(Uniform(1, 1'500));
       }
       if (node > 0 && Chance(mRates.mRestart)) {
-        Schedule(At(Uniform(0, 150)), kReceiver, [this, node] {
-          Restart(node);
-        });
+        Schedule(
+          At(Uniform(0, 150)), kReceiver, [this, node] { Restart(node); });
       }
     }
   }
@@ -80,6 +79,7 @@
         Schedule(node.mFrozenUntil, current.mNode, current.mAction);
       } else if (current.mEpoch == node.mEpoch) {
         current.mAction();
+        WatchTimer();
       }
     }
   }
@@ -94,6 +94,7 @@
     execution& current = *mExecutions.back();
     current.mNode = index + 1;
     current.mAllowed = aGrant.mAttempts;
+    current.mReserved = aGrant.mReserved;
     ToRoot(index, [this, index] { OnQuery(index); });
     if (Chance(mRates.mBreak)) {
       Schedule(After(0, 200), kReceiver, [this, index] { Break(index); });
@@ -105,11 +106,19 @@
     });
     return true;
   }
-  void Cancel(std::size_t aExecution) override
+  void Grant(std::size_t aExecution, int aAttempts) override
   {
-    ToRoot(aExecution, [this, aExecution] {
-      mExecutions[aExecution]->mClosed = true;
+    ToRoot(aExecution, [this, aExecution, aAttempts] {
+      execution& current = *mExecutions[aExecution];
+      current.mAllowed += aAttempts;
+      current.mReserved = 0;
+      Spend(aExecution);
     });
+  }
+  void Cancel(std::size_t aExecution) override
+  {
+    ToRoot(aExecution,
+           [this, aExecution] { mExecutions[aExecution]->mClosed = true; });
     mExecutions[aExecution]->mBroken = true;
   }
   void Answer(std::size_t aExecution) override
@@ -160,7 +169,9 @@
   {
     std::size_t mNode = 0;
     int mAllowed = 0;
+    int mReserved = 0;
     int mSpent = 0;
+    bool mAsked = false;
     bool mRunning = false;
     bool mClosed = false; ///< The root has noticed the end of the connection.
     bool mBroken = false; ///< No further message arrives at the receiver.
@@ -204,8 +215,7 @@
   {
     execution& current = *mExecutions[aExecution];
     if (!current.mBroken) {
-      Schedule(
-        Arrival(current.mLastToRoot), current.mNode, std::move(aAction));
+      Schedule(Arrival(current.mLastToRoot), current.mNode, std::move(aAction));
     }
   }
   void ToReceiver(std::size_t aExecution, std::function<void()> aAction)
@@ -235,10 +245,15 @@
     current.mSaysNotRun = failed && Chance(0.5);
     current.mRunning = !current.mSaysNotRun;
     Spend(aExecution);
-    Schedule(After(5, 90), current.mNode, [this, aExecution] {
+    if (current.mRunning) {
+      Schedule(After(4, 60), current.mNode, [this, aExecution] {
+        AskForAttempts(aExecution);
+      });
+    }
+    Schedule(After(5, 90), current.mNode, [this, aExecution, failed] {
       mExecutions[aExecution]->mRunning = false;
-      ToReceiver(aExecution, [this, aExecution] {
-        mHandOver.OnAnswer(aExecution);
+      ToReceiver(aExecution, [this, aExecution, failed] {
+        mHandOver.OnAnswer(aExecution, !failed, mNow);
       });
     });
   }
@@ -251,6 +266,16 @@
       current.mSpent = current.mAllowed;
     }
   }
+  void AskForAttempts(std::size_t aExecution)
+  {
+    execution& current = *mExecutions[aExecution];
+    if (current.mRunning && !current.mClosed && current.mReserved > 0 &&
+        !std::exchange(current.mAsked, true)) {
+      ToReceiver(aExecution, [this, aExecution] {
+        mHandOver.OnAttemptsWanted(aExecution);
+      });
+    }
+  }
   void Restart(std::size_t aNode)
   {
     ++mNodes[aNode].mEpoch;
@@ -277,6 +302,14 @@
       });
     }
   }
+  void WatchTimer()
+  {
+    const auto wake = mHandOver.NextWake();
+    if (wake && wake != mWatched) {
+      mWatched = wake;
+      Schedule(*wake, kReceiver, [this] { mHandOver.OnTimer(mNow); });
+    }
+  }
   void Finish()
   {
     ++mFinalActions;
@@ -290,6 +323,7 @@
   std::map<std::pair<model::instant, std::uint64_t>, event> mEvents;
   std::array<node_state, 4> mNodes;
   std::vector<std::unique_ptr<execution>> mExecutions;
+  std::optional<model::instant> mWatched;
   hand_over mHandOver;
 };
 
@@ -297,9 +331,9 @@
 constexpr std::uint32_t kOrders = 20'000;
 
 /** Guards against a query on more leaves of a shard than its route allows.
- * Several roots executed it, since a confirmation that was late, lost or not yet
- * read made the receiver hand it over again, and each used the whole maximum or
- * one attempt more. */
+ * Several roots executed it, since a confirmation that was late, lost or not
+ * yet read made the receiver hand it over again, and each used the whole
+ * maximum or one attempt more. */
 TEST(hand_over_test, AllExecutionsOfAQueryStayWithinItsAttempts)
 {
   for (int maxAttempts = 1; maxAttempts <= 4; ++maxAttempts) {
