A process has no slack of the retry budget in its first window

Callers and leaves could see more repeats of a service in a window than the settings allow (BUDGET, the sum over all instances) while leaves fail and instances are killed again and again. It was found by reading retry_budget for the class of fault that broke the attempts of a query.

Cause: the counts are of one process and begin empty, so that each new process spends the instance's share of the slack again. Nine instances that are killed four times in a window made 225 repeats where 58 are allowed (RetryBudget.InstancesThatAreKilledRepeatedlyDoNotGetTheSlackAgain, failing before this change).

A process has no slack until a window has passed since its start; what earlier ones spent has expired by then, however often the instance was killed. Until then it retries as its own requests allow. instance_fixture has a window that is shorter than its wait after a start, since two tests of retries use an instance that is 120 ms old; what they expect is unchanged.

--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -104,7 +104,7 @@
   , mLog(aLog)
   , mMetrics(aMetrics)
   , mSink(std::move(aSink))
-  , mRetryBudget(mSettings.mRetryBudget)
+  , mRetryBudget(mSettings.mRetryBudget, event_loop::Now())
   , mQuarantine(QuarantineSettings())
   , mLeaves(aLoop,
             mSettings.mHeaderNames,
--- a/src/serving/retry_budget.cpp
+++ b/src/serving/retry_budget.cpp
@@ -39,6 +39,14 @@
   ++counts.mRequestSum;
 }
 
+double
+retry_budget::Slack(model::instant aNow) const
+{
+  return aNow < mStartedAt + mSettings.mWindow
+           ? 0
+           : mSettings.mSlack / static_cast<double>(mInstanceCount);
+}
+
 bool
 retry_budget::TryAcquire(const std::string& aService,
                          purpose aPurpose,
@@ -46,13 +54,10 @@
 {
   window& counts = mWindows[aService];
   Advance(counts, aNow);
-  const double slack =
-    mSettings.mSlack /
-    static_cast<double>(std::max<std::size_t>(1, mInstanceCount));
   const double share =
     aPurpose == purpose::Hedge ? kUsableShare * kHedgeShare : kUsableShare;
   const double allowed =
-    share * (mSettings.mRatio * counts.mRequestSum + slack);
+    share * (mSettings.mRatio * counts.mRequestSum + Slack(aNow));
   if (counts.mExtraAttemptSum + 1 > allowed) {
     return false;
   }
--- a/src/serving/retry_budget_base.h
+++ b/src/serving/retry_budget_base.h
@@ -7,6 +7,7 @@
 
 #include "model/time_type.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <string>
@@ -36,8 +37,13 @@
 class retry_budget
 {
 public:
-  explicit retry_budget(const retry_budget_settings& aSettings)
+  /** @param aStartedAt Start of this process. What an earlier process of the
+   * instance has spent is not known, so there is no slack in the first window.
+   */
+  retry_budget(const retry_budget_settings& aSettings,
+               model::instant aStartedAt)
     : mSettings(aSettings)
+    , mStartedAt(aStartedAt)
   {
   }
 
@@ -54,7 +60,10 @@
   }
   /** @param aCount Instances that may spend budget, including those that have
    * become unreachable recently. */
-  void SetInstanceCount(std::size_t aCount) { mInstanceCount = aCount; }
+  void SetInstanceCount(std::size_t aCount)
+  {
+    mInstanceCount = std::max<std::size_t>(1, aCount);
+  }
   std::size_t InstanceCount() const { return mInstanceCount; }
   void OnRequest(const std::string& aService, model::instant aNow);
   /** Takes one extra attempt; false if the window has none left. */
@@ -83,7 +92,11 @@
   /** Moves a window to the current slice and drops the expired ones. */
   void Advance(window& aWindow, model::instant aNow) const;
 
+  /** Slack of this instance in the current window. */
+  double Slack(model::instant aNow) const;
+
   retry_budget_settings mSettings;
+  model::instant mStartedAt;
   std::size_t mInstanceCount = 1;
   std::unordered_map<std::string, window> mWindows; ///< By service.
 };
--- a/test/gateway/instance_fixture.h
+++ b/test/gateway/instance_fixture.h
@@ -42,6 +42,8 @@
                                "X-Expect",  "X-Not",   "X-Sigs",
                                "X-Missing", "X-Limit", "X-Leaving" };
     mSettings.mRetryBudget.mSlack = 100;
+    // Start() waits longer: an instance has no slack in its first window.
+    mSettings.mRetryBudget.mWindow = std::chrono::milliseconds(100);
     mStore.mContent.mVersion = 1;
   }
 
--- a/test/serving/retry_budget_test.cpp
+++ b/test/serving/retry_budget_test.cpp
@@ -16,13 +16,26 @@
 using std::chrono::milliseconds;
 using purpose = retry_budget::purpose;
 
+constexpr model::instant kLongAgo{ std::chrono::hours(-1) };
+
+/** Number of extra attempts that an instance gets at once. */
+int
+SpendAll(retry_budget& aBudget, model::instant aNow)
+{
+  int attempts = 0;
+  while (aBudget.TryAcquire("s", purpose::Retry, aNow)) {
+    ++attempts;
+  }
+  return attempts;
+}
+
 /** In any sliding window the extra attempts of all instances together stay
  * within the settings. */
 TEST(RetryBudget, FleetStaysWithinTheSettingsWhenAllInstancesRetry)
 {
   constexpr int kInstances = 9;
   const retry_budget_settings settings{ 0.2, 58, milliseconds(10'000) };
-  std::vector<retry_budget> fleet(kInstances, retry_budget(settings));
+  std::vector<retry_budget> fleet(kInstances, retry_budget(settings, kLongAgo));
   for (auto& instance : fleet) {
     instance.SetInstanceCount(kInstances);
   }
@@ -55,7 +68,7 @@
 
 TEST(RetryBudget, HedgesLeaveAShareForRetries)
 {
-  retry_budget budget({ 0.2, 0, milliseconds(10'000) });
+  retry_budget budget({ 0.2, 0, milliseconds(10'000) }, kLongAgo);
   model::instant now{ std::chrono::seconds(100) };
   for (int request = 0; request < 100; ++request) {
     budget.OnRequest("s", now);
@@ -70,7 +83,7 @@
 
 TEST(RetryBudget, ServicesDoNotShareBudget)
 {
-  retry_budget budget({ 0.2, 0, milliseconds(10'000) });
+  retry_budget budget({ 0.2, 0, milliseconds(10'000) }, kLongAgo);
   const model::instant now{ std::chrono::seconds(100) };
   for (int request = 0; request < 100; ++request) {
     budget.OnRequest("s", now);
@@ -80,7 +93,7 @@
 
 TEST(RetryBudget, ExtraAttemptsExpireWithTheWindow)
 {
-  retry_budget budget({ 0.2, 10, milliseconds(10'000) });
+  retry_budget budget({ 0.2, 10, milliseconds(10'000) }, kLongAgo);
   model::instant now{ std::chrono::seconds(100) };
   int acquired = 0;
   while (budget.TryAcquire("s", purpose::Retry, now)) {
@@ -93,5 +106,39 @@
     budget.TryAcquire("s", purpose::Retry, now + milliseconds(11'000)));
 }
 
+/** Guards against more repeats than the settings allow while leaves fail and
+ * instances are killed: each new process spent the slack of its window again.
+ */
+TEST(RetryBudget, InstancesThatAreKilledRepeatedlyDoNotGetTheSlackAgain)
+{
+  constexpr int kInstances = 9;
+  const retry_budget_settings settings{ 0.2, 58, milliseconds(10'000) };
+  model::instant now{};
+  int attempts = 0;
+  for (int instance = 0; instance < kInstances; ++instance) {
+    model::instant startedAt = kLongAgo;
+    for (int life = 0; life < 5; ++life) {
+      retry_budget budget(settings, startedAt);
+      budget.SetInstanceCount(kInstances);
+      startedAt = now + life * milliseconds(1'500);
+      attempts += SpendAll(budget, startedAt + milliseconds(1'400));
+    }
+  }
+  EXPECT_GT(attempts, 0);
+  EXPECT_LE(attempts, settings.mSlack);
+}
+
+/** Guards against a new process that makes no retries at all. */
+TEST(RetryBudget, AnInstanceThatStartedRetriesAsItsRequestsAllow)
+{
+  const model::instant now{};
+  retry_budget budget({ 0.2, 58, milliseconds(10'000) }, now);
+  for (int request = 0; request < 100; ++request) {
+    budget.OnRequest("s", now);
+  }
+  EXPECT_GT(SpendAll(budget, now), 15);
+  EXPECT_GT(SpendAll(budget, now + milliseconds(10'000)), 40);
+}
+
 } // namespace
 } // namespace monsooncroft::serving
