Parts of a fleet that are cut off do not divide the slack anew

The sum of repeats of a service could pass the settings (BUDGET) while data centres are cut off from each other for more than 15 s.

Cause: the slack is divided by the members that an instance has heard of in the last 15 s, so that each part of a fleet took the others for gone and had the whole slack: 144 repeats of nine instances in three parts where 58 are allowed (RetryBudget.PartsOfAFleetThatAreCutOffShareTheSlack, failing before).

The greatest number of instances that a process has known is the divisor: those out of reach may spend their share elsewhere. A fleet that shrinks for good keeps the smaller shares until its processes start anew. An instance that starts while it is cut off still knows its own part only.

--- a/src/serving/retry_budget_base.h
+++ b/src/serving/retry_budget_base.h
@@ -58,11 +58,11 @@
   {
     mSettings = aSettings;
   }
-  /** @param aCount Instances that may spend budget, including those that have
-   * become unreachable recently. */
+  /** @param aCount Instances that are known to run. The greatest count holds:
+   * those that are not in reach any more may spend their share elsewhere. */
   void SetInstanceCount(std::size_t aCount)
   {
-    mInstanceCount = std::max<std::size_t>(1, aCount);
+    mInstanceCount = std::max(mInstanceCount, aCount);
   }
   std::size_t InstanceCount() const { return mInstanceCount; }
   void OnRequest(const std::string& aService, model::instant aNow);
--- a/test/serving/retry_budget_test.cpp
+++ b/test/serving/retry_budget_test.cpp
@@ -128,6 +128,25 @@
   EXPECT_LE(attempts, settings.mSlack);
 }
 
+/** Guards against more repeats than the settings allow while data centres are
+ * cut off from each other: each part took the others for gone, and divided the
+ * slack among its own instances. */
+TEST(RetryBudget, PartsOfAFleetThatAreCutOffShareTheSlack)
+{
+  constexpr int kInstances = 9;
+  const retry_budget_settings settings{ 0.2, 58, milliseconds(10'000) };
+  const model::instant now{};
+  int attempts = 0;
+  for (int instance = 0; instance < kInstances; ++instance) {
+    retry_budget budget(settings, kLongAgo);
+    budget.SetInstanceCount(kInstances);
+    budget.SetInstanceCount(kInstances / 3);
+    attempts += SpendAll(budget, now);
+  }
+  EXPECT_GT(attempts, 0);
+  EXPECT_LE(attempts, settings.mSlack);
+}
+
 /** Guards against a new process that makes no retries at all. */
 TEST(RetryBudget, AnInstanceThatStartedRetriesAsItsRequestsAllow)
 {
