A failing test: leaves get time that a request has waited unread

The test shows one way to it: a request waits in the socket of a busy instance, and its time is counted from when it is read.

--- a/src/gateway/relay_client_base.h
+++ b/src/gateway/relay_client_base.h
@@ -71,7 +71,8 @@
   /** Whether a root is known that has not failed recently. */
   bool HasRoot(model::instant aNow) const;
   /** Hands a query to a root and answers the caller. Calls the fallback if no
-   * root responds; if roots are overloaded, the query is refused. */
+   * root responds; if roots are overloaded, the query is refused; if it has no
+   * attempts left, it fails. */
   void Send(relayed_query aQuery, fallback aFallback, model::instant aNow);
 
 private:
--- a/test/gateway/instance_test.cpp
+++ b/test/gateway/instance_test.cpp
@@ -6,6 +6,12 @@
 #include "instance_fixture.h"
 
 #include <algorithm>
+#include <array>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
 
 namespace monsooncroft::gateway {
 namespace {
@@ -750,5 +756,53 @@
   EXPECT_EQ(*answer->Find("Connection"), "close");
 }
 
+/** Guards against leaves that get more time than their caller has left (BUDGET
+ * on the time that leaves are given, which may be half a second more): a
+ * request waits unread while the instance is busy, and its time is counted from
+ * when it is read. */
+TEST_F(instance_test, ALeafGetsNoTimeThatARequestHasWaitedUnread)
+{
+  constexpr milliseconds kTimeout{ 900 };
+  constexpr milliseconds kTolerance{ 500 };
+  std::optional<long> given;
+  model::instant arrivedAt{};
+  AddLeaf("plain", [&](auto& aConnection, const auto& aRequest) {
+    arrivedAt = event_loop::Now();
+    given = std::stol(*aRequest.Find("X-Left"));
+    aConnection.Write(OkAnswer(aRequest, "sig", "body"));
+  });
+  AddSingleServiceRoute(serving::repeatability::Idempotent);
+  Start();
+  model::instant sentAt{};
+  std::thread caller([&, address = mSettings.mCallerAddress] {
+    std::this_thread::sleep_for(milliseconds(60));
+    sockaddr_in server{};
+    server.sin_family = AF_INET;
+    server.sin_port = htons(address.mPort);
+    server.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
+    EXPECT_EQ(::connect(connection,
+                        reinterpret_cast<sockaddr*>(&server),
+                        sizeof(server)),
+              0);
+    const std::string request =
+      "GET /one/x HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nX-Left: 900\r\n\r\n";
+    sentAt = event_loop::Now();
+    ::send(connection, request.data(), request.size(), MSG_NOSIGNAL);
+    std::array<char, 1'024> answer{};
+    ::recv(connection, answer.data(), answer.size(), 0);
+    ::close(connection);
+  });
+  loop_timer busy(mLoop,
+                  [] { std::this_thread::sleep_for(milliseconds(800)); });
+  busy.Start(milliseconds(20));
+  RunFor(milliseconds(1'200));
+  caller.join();
+  ASSERT_TRUE(given);
+  const auto left = std::max<model::duration>(kTimeout - (arrivedAt - sentAt),
+                                              model::duration(0));
+  EXPECT_LE(model::duration(milliseconds(*given)), left + kTolerance);
+}
+
 } // namespace
 } // namespace monsooncroft::gateway
