Review: a crash of leaves blocks a query that many callers send

Cause: requests in flight at two crashed leaves are refused for ten minutes, and nothing clears a request that is known by host, path and body alone.

--- a/review/lib2/bed.py
+++ b/review/lib2/bed.py
@@ -9,6 +9,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -235,6 +236,9 @@
         self.draining_at = None  # when the store has acknowledged it
         self.cold_until = 0.0
         self.server = None
+        self.work_s = 0.005
+        self.slots = asyncio.Semaphore(4)
+        self.writers = set()
 
     async def start(self, cold_s=0.0):
         self.cold_until = time.monotonic() + cold_s
@@ -278,7 +282,21 @@
         self.beat.cancel()
         await self.bed.store.remove("servers/" + self.id)
 
+    async def crash(self):
+        """The process ends: its port refuses connections, open ones are reset,
+        its entry is removed after three heartbeat intervals."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+        self.beat.cancel()
+        await asyncio.sleep(3.6)
+        await self.bed.store.remove("servers/" + self.id)
+
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 first, fields, _ = await read_message(reader)
@@ -287,8 +305,9 @@
                 if fields.get("x-monsooncroft-expect-instance", self.id) != self.id:
                     writer.write(message("HTTP/1.1 421 X", answer))
                     continue
-                self.bed.on_run(self, request, fields)
-                await asyncio.sleep(0.005)
+                async with self.slots:
+                    self.bed.on_run(self, request, fields)
+                    await asyncio.sleep(self.work_s)
                 answer["X-Monsooncroft-Server-Stamp"] = f"{self.id}.{request}"
                 writer.write(
                     message("HTTP/1.1 200 OK", answer, self.service.encode())
@@ -297,6 +316,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
@@ -413,9 +433,12 @@
         self.runs.setdefault(request, []).append((time.monotonic(), leaf))
         self.record.write(f"run {request} by {leaf.id}")
 
-    async def add_leaf(self, service, zone, cold_s=0.0):
+    async def add_leaf(self, service, zone, cold_s=0.0, work_s=0.005, slots=4):
         self.number += 1
-        leaf = await Leaf(self, service, zone, self.number).start(cold_s)
+        leaf = Leaf(self, service, zone, self.number)
+        leaf.work_s = work_s
+        leaf.slots = asyncio.Semaphore(slots)
+        await leaf.start(cold_s)
         self.leaves.append(leaf)
         return leaf
 
