--- a/review/lib2/bed.py
+++ b/review/lib2/bed.py
@@ -7,6 +7,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -420,7 +421,7 @@
         self.salt = os.getpid() % 150
         first = f"127.0.{40 + self.salt}.10"
         self.ports = [free_port(first) for _ in range(4)]
-        while any(p + 16 > 65535 for p in self.ports):
+        while self.ports[3] + 16 > 65535 or self.ports[3] + 1 in self.ports:
             self.ports = [free_port(first) for _ in range(4)]
         self.store = Store(self.record, **store)
         self.instances = []
@@ -501,6 +502,7 @@
         for instance in self.instances:
             if instance.process:
                 instance.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def run(main):
