The HTTP parser has a package of its own

Cause: the older data path, monsooncroftctl and the store's older client read answers with another library; a check of answers belongs in one place that all of them can link. Change: http_reader and http_message move to src/http, without a change of behaviour; the gateway keeps its names for them.

--- a/src/gateway/bearer_key_func.h
+++ b/src/gateway/bearer_key_func.h
@@ -5,13 +5,13 @@
 #ifndef MONSOONCROFT_GATEWAY_BEARER_KEY_FUNC_H
 #define MONSOONCROFT_GATEWAY_BEARER_KEY_FUNC_H
 
+#include "gateway/http_message_type.h"
+
 #include <optional>
 #include <string_view>
 
 namespace monsooncroft::gateway {
 
-struct http_message;
-
 /** Name of the field that holds the key. */
 constexpr std::string_view kAuthorizationField = "Authorization";
 
--- a/src/gateway/http_reader_base.h
+++ b/src/gateway/http_reader_base.h
@@ -1,66 +1,16 @@
 /**
  * @file http_reader_base.h
- * Incremental HTTP/1.1 parser.
+ * The package's name of the HTTP/1.1 parser.
  */
 #ifndef MONSOONCROFT_GATEWAY_HTTP_READER_BASE_H
 #define MONSOONCROFT_GATEWAY_HTTP_READER_BASE_H
 
 #include "gateway/http_message_type.h"
-
-#include <cstddef>
-#include <cstdint>
-#include <memory>
-#include <string_view>
+#include "http/http_reader_base.h"
 
 namespace monsooncroft::gateway {
 
-/** Parses the messages of one connection in order. */
-class http_reader
-{
-public:
-  enum class role : std::uint8_t
-  {
-    Requests,
-    Responses,
-  };
-  enum class state : std::uint8_t
-  {
-    Empty,     ///< No byte of the next message has arrived.
-    Head,      ///< The head is incomplete.
-    Body,      ///< The body is incomplete.
-    Complete,  ///< A message is available; see NextMessage().
-    Malformed, ///< Not valid HTTP.
-    HeadTooLarge,
-    BodyTooLarge,
-  };
-
-  explicit http_reader(role aRole);
-  ~http_reader();
-  http_reader(const http_reader&) = delete;
-  http_reader& operator=(const http_reader&) = delete;
-  http_reader(http_reader&&) = delete;
-  http_reader& operator=(http_reader&&) = delete;
-
-  void SetLimits(std::size_t aHeadBytes, std::size_t aBodyBytes);
-  /** Whether the next response has no body, as for HEAD. */
-  void ExpectNoBody(bool aNoBody);
-  /**
-   * Consumes bytes up to the end of a message.
-   * @return Number of bytes consumed.
-   */
-  std::size_t Feed(std::string_view aBytes);
-  /** Handles an orderly end of the stream: completes a response without a
-   * length. */
-  void FeedEof();
-  state State() const;
-  http_message& Message();
-  void NextMessage(); ///< Drops the complete message and starts the next one.
-
-private:
-  struct parser;
-
-  std::unique_ptr<parser> mParser;
-};
+using http::http_reader;
 
 } // namespace monsooncroft::gateway
 
--- a/src/gateway/http_reader.cpp
+++ b/src/http/http_reader.cpp
@@ -2,7 +2,7 @@
  * @file http_reader.cpp
  * Incremental HTTP/1.1 parser, based on http_parser.
  */
-#include "gateway/http_reader_base.h"
+#include "http/http_reader_base.h"
 
 #include <http_parser.h>
 
@@ -10,7 +10,7 @@
 #include <cctype>
 #include <limits>
 
-namespace monsooncroft::gateway {
+namespace monsooncroft::http {
 
 bool
 EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight)
@@ -249,4 +249,4 @@
   mParser->mNoBody = false;
 }
 
-} // namespace monsooncroft::gateway
+} // namespace monsooncroft::http
