Answers with a broken field reached callers

Callers saw: an answer in whose head a field's name held a blank, with that line passed on, and a body that was not the leaf's where the blank changed the framing ("Content-Length : 3" was no length). Folded lines and bare line feeds passed, too. Control characters in names were rejected already; those cases stay as tests.

Cause: the lenient build of http_parser takes a blank as a byte of a name.

Change: each byte of a response's fields must be one that RFC 9110 and 9112 allow there: tokens for names, text for values, CRLF behind each line, no folded lines.

--- a/src/http/http_reader.cpp
+++ b/src/http/http_reader.cpp
@@ -124,6 +124,7 @@
         http_method_str(static_cast<http_method>(aParser->method));
     } else {
       self.mMessage.mCloseDelimited = NeedsEof(aParser) != 0 && !self.mNoBody;
+      self.mSyntax.BeginBody();
     }
     const bool hasLength =
       aParser->content_length != std::numeric_limits<std::uint64_t>::max();
--- a/src/http/response_syntax.cpp
+++ b/src/http/response_syntax.cpp
@@ -4,6 +4,8 @@
  */
 #include "http/response_syntax_base.h"
 
+#include <array>
+
 namespace monsooncroft::http {
 
 namespace {
@@ -24,6 +26,23 @@
   return aByte == '\t' || (aByte >= 0x20 && aByte != 0x7f);
 }
 
+/** Bytes of names: tchar in RFC 9110. */
+constexpr std::array<bool, 256> kTokenBytes = [] {
+  std::array<bool, 256> out{};
+  for (const char byte : std::string_view("!#$%&'*+-.^_`|~0123456789"
+                                          "abcdefghijklmnopqrstuvwxyz"
+                                          "ABCDEFGHIJKLMNOPQRSTUVWXYZ")) {
+    out[static_cast<unsigned char>(byte)] = true;
+  }
+  return out;
+}();
+
+constexpr bool
+IsToken(unsigned char aByte)
+{
+  return kTokenBytes[aByte];
+}
+
 } // namespace
 
 std::size_t
@@ -32,7 +51,9 @@
   std::size_t position = 0;
   while (position < aBytes.size() && mDefect == nullptr) {
     switch (mPlace) {
-      case place::Rest:
+      case place::EndOfHead:
+        return position;
+      case place::Body:
         return aBytes.size();
       default:
         if (!CheckByte(static_cast<unsigned char>(aBytes[position]))) {
@@ -44,6 +65,12 @@
   return position;
 }
 
+void
+response_syntax::BeginBody()
+{
+  mPlace = place::Body;
+}
+
 bool
 response_syntax::Fail(const char* aDefect)
 {
@@ -58,15 +85,27 @@
   return true;
 }
 
+bool
+response_syntax::EndLine(place aNext)
+{
+  mAfterLine = aNext;
+  return GoTo(place::LineFeed);
+}
+
 bool
 response_syntax::CheckByte(unsigned char aByte)
 {
   switch (mPlace) {
     case place::LineFeed:
-      return aByte == '\n' ? GoTo(place::Rest)
+      return aByte == '\n' ? GoTo(mAfterLine)
                            : Fail("carriage return without a line feed");
-    default:
+    case place::Version:
+    case place::Status:
+    case place::StatusEnd:
+    case place::Reason:
       return CheckStatusLine(aByte);
+    default:
+      return CheckField(aByte);
   }
 }
 
@@ -93,15 +132,38 @@
       return ++mOffset < kStatusDigits || GoTo(place::StatusEnd);
     case place::StatusEnd:
       // Servers that have no reason phrase often omit the space, too.
-      return aByte == '\r'  ? GoTo(place::LineFeed)
+      return aByte == '\r'  ? EndLine(place::FieldStart)
              : aByte == ' ' ? GoTo(place::Reason)
                             : Fail("status not from 100 to 599");
     default:
       if (aByte == '\r') {
-        return GoTo(place::LineFeed);
+        return EndLine(place::FieldStart);
       }
       return IsText(aByte) || Fail("control character in the reason phrase");
   }
 }
 
+bool
+response_syntax::CheckField(unsigned char aByte)
+{
+  switch (mPlace) {
+    case place::FieldStart:
+      if (aByte == '\r') {
+        return EndLine(place::EndOfHead);
+      }
+      return IsToken(aByte) ? GoTo(place::FieldName)
+                            : Fail("invalid start of a field");
+    case place::FieldName:
+      if (aByte == ':') {
+        return GoTo(place::FieldValue);
+      }
+      return IsToken(aByte) || Fail("invalid byte in the name of a field");
+    default:
+      if (aByte == '\r') {
+        return EndLine(place::FieldStart);
+      }
+      return IsText(aByte) || Fail("control character in a field");
+  }
+}
+
 } // namespace monsooncroft::http
--- a/src/http/response_syntax_base.h
+++ b/src/http/response_syntax_base.h
@@ -12,8 +12,8 @@
 namespace monsooncroft::http {
 
 /**
- * Checks the status line of a response against the grammar of RFC 9112, byte by
- * byte. http_parser accepts much more, and does not always understand it as the
+ * Checks the head of a response against the grammar of RFC 9112, byte by byte.
+ * http_parser accepts much more, and does not always understand it as the
  * server means it.
  */
 class response_syntax
@@ -21,12 +21,15 @@
 public:
   /**
    * Checks the next bytes of a response.
-   * @return How many of them conform. Fewer than given only before a defect.
+   * @return How many of them conform. Fewer than given at the end of the head
+   * and before a defect.
    */
   std::size_t Check(std::string_view aBytes);
   /** What is wrong with the byte behind the last one that conforms; null if
    * there is no defect. */
   const char* Defect() const { return mDefect; }
+  /** Goes on with the body, which is not checked. */
+  void BeginBody();
 
 private:
   /** What the next byte belongs to. */
@@ -36,17 +39,25 @@
     Status,
     StatusEnd, ///< The byte behind the status.
     Reason,
-    LineFeed, ///< The end of the status line.
-    Rest,     ///< Not checked.
+    LineFeed, ///< The end of a line; mAfterLine follows.
+    FieldStart,
+    FieldName,
+    FieldValue,
+    EndOfHead,
+    Body, ///< Not checked.
   };
 
   /** @return Whether the byte conforms. */
   bool CheckByte(unsigned char aByte);
   bool CheckStatusLine(unsigned char aByte);
+  bool CheckField(unsigned char aByte);
   bool Fail(const char* aDefect);
   bool GoTo(place aNext);
+  /** Expects the line feed behind a carriage return. */
+  bool EndLine(place aNext);
 
   place mPlace = place::Version;
+  place mAfterLine = place::Version;
   std::size_t mOffset = 0; ///< In the version or the status.
   const char* mDefect = nullptr;
 };
--- a/test/support/answer_cases.h
+++ b/test/support/answer_cases.h
@@ -189,6 +189,34 @@
   return cases.Take();
 }
 
+/** Answers with a broken field. */
+inline answer_cases
+BrokenFields(const std::string& aFields)
+{
+  answer_case_builder cases(aFields);
+  for (const std::string& byte : BytesThat(IsTokenByte, false)) {
+    cases.AddFieldLines({ byte + "Name: v\r\n" });
+    if (byte != ":") { // It would only end the name.
+      cases.AddFieldLines(
+        { "Na" + byte + "me: v\r\n", "Name" + byte + ": v\r\n" });
+    }
+  }
+  for (const std::string& byte : BytesThat(IsTextByte, false)) {
+    cases.AddFieldLines({ "Name:" + byte + "v\r\n",
+                          "Name: a" + byte + "b\r\n",
+                          "Name: v" + byte + "\r\n" });
+  }
+  cases.AddFieldLines({ "Name\r\n",
+                        "Name: v\n",
+                        "Name: a\r\n folded\r\n",
+                        "Name: a\r\n\tfolded\r\n",
+                        "Content-Length : 3\r\n",
+                        " Content-Length: 3\r\n",
+                        "Transfer-Encoding : chunked\r\n",
+                        "Transfer Encoding: chunked\r\n" });
+  return cases.Take();
+}
+
 /** The broken answers of which one part is broken. */
 struct broken_part
 {
@@ -201,6 +229,7 @@
 {
   static const std::vector<broken_part> kParts{
     { "StatusLine", BrokenStatusLines },
+    { "Fields", BrokenFields },
   };
   return kParts;
 }
