Blanks behind a field's value count as part of it

Callers saw: a sound answer that has a blank behind the request's id, which RFC 9112 allows, was taken for an answer to another request. Its request failed.

Cause: http_parser drops the blanks before a value, but not those behind it.

Change: http_reader drops both in responses.

Result: HttpResponse.ValuesAreReadWithoutTheBlanksAroundThem failed before and passes now.

--- a/src/http/http_reader.cpp
+++ b/src/http/http_reader.cpp
@@ -43,6 +43,13 @@
 /** The library's limit; above the configured ones, which CountHead() checks. */
 constexpr std::size_t kLibraryMaxHeadBytes = 1U << 20U;
 
+void
+TrimEnd(std::string& aValue)
+{
+  const auto last = aValue.find_last_not_of(" \t");
+  aValue.resize(last == std::string::npos ? 0 : last + 1);
+}
+
 } // namespace
 
 /** The library's parser and the message read so far. */
@@ -123,8 +130,7 @@
       self.mMessage.mMethod =
         http_method_str(static_cast<http_method>(aParser->method));
     } else {
-      self.mMessage.mCloseDelimited = NeedsEof(aParser) != 0 && !self.mNoBody;
-      self.mSyntax.BeginBody();
+      self.FinishResponseHead();
     }
     const bool hasLength =
       aParser->content_length != std::numeric_limits<std::uint64_t>::max();
@@ -135,6 +141,15 @@
     return self.mNoBody ? 1 : 0;
   }
 
+  void FinishResponseHead()
+  {
+    for (http_field& field : mMessage.mFields) {
+      TrimEnd(field.mValue);
+    }
+    mMessage.mCloseDelimited = NeedsEof(&mParser) != 0 && !mNoBody;
+    mSyntax.BeginBody();
+  }
+
   static int OnBody(::http_parser* aParser, const char* aAt, size_t aLength)
   {
     parser& self = Of(aParser);
--- a/test/http/http_response_test.cpp
+++ b/test/http/http_response_test.cpp
@@ -68,5 +68,16 @@
   }
 }
 
+/** A client would take the value with its blanks for another one. */
+TEST(HttpResponse, ValuesAreReadWithoutTheBlanksAroundThem)
+{
+  http::http_reader reader(http::http_reader::role::Responses);
+  reader.Feed("HTTP/1.1 200 OK\r\nId: \t r s \t\r\nEmpty: \t \r\n"
+              "Content-Length: 0\r\n\r\n");
+  ASSERT_EQ(reader.State(), state::Complete);
+  EXPECT_EQ(*reader.Message().Find("Id"), "r s");
+  EXPECT_EQ(*reader.Message().Find("Empty"), "");
+}
+
 } // namespace
 } // namespace monsooncroft::http
