Answers that do not say clearly where they end reached callers

Callers saw: bodies that were not the leaf's. An answer in the codings "gzip, chunked" passed with only the chunks undone. One in a coding such as "xchunked" counted as one that ends with its connection, framing included.

Cause: http_parser ignores codings that it does not know, and takes a chunked answer of HTTP/1.0 and one with two codings.

Change: a response has at most one of the fields Content-Length, a number, and Transfer-Encoding, "chunked". No other coding has been asked for, so its body could not be read. A coding is not accepted where HTTP allows none: in HTTP/1.0 and in a response without a body.

Broken values of Content-Length were rejected already; those cases stay as tests.

--- a/src/http/http_reader.cpp
+++ b/src/http/http_reader.cpp
@@ -50,6 +50,37 @@
   aValue.resize(last == std::string::npos ? 0 : last + 1);
 }
 
+/** What is wrong with the fields that delimit a response's body; null if they
+ * are sound. The library ignores codings that it does not know. */
+const char*
+FramingDefect(const http_message& aHead, unsigned aHttpMinor)
+{
+  int codings = 0;
+  int lengths = 0;
+  for (const http_field& field : aHead.mFields) {
+    if (EqualsIgnoreCase(field.mName, "Content-Length")) {
+      ++lengths;
+      const bool isNumber =
+        !field.mValue.empty() &&
+        field.mValue.find_first_not_of("0123456789") == std::string::npos;
+      if (!isNumber) {
+        return "invalid Content-Length";
+      }
+    } else if (EqualsIgnoreCase(field.mName, "Transfer-Encoding")) {
+      ++codings;
+      if (!EqualsIgnoreCase(field.mValue, "chunked")) {
+        return "transfer coding other than chunked";
+      }
+    }
+  }
+  if (lengths > 1 || codings > 1 || lengths + codings > 1) {
+    return "more than one length of the body";
+  }
+  const bool mayBeChunked =
+    aHttpMinor > 0 && aHead.mStatus / 100 != 1 && aHead.mStatus != 204;
+  return codings > 0 && !mayBeChunked ? "transfer coding not allowed" : nullptr;
+}
+
 } // namespace
 
 /** The library's parser and the message read so far. */
@@ -129,8 +160,8 @@
     if (aParser->type == HTTP_REQUEST) {
       self.mMessage.mMethod =
         http_method_str(static_cast<http_method>(aParser->method));
-    } else {
-      self.FinishResponseHead();
+    } else if (const char* defect = self.FinishResponseHead()) {
+      return self.Fail(state::Malformed, defect);
     }
     const bool hasLength =
       aParser->content_length != std::numeric_limits<std::uint64_t>::max();
@@ -141,13 +172,18 @@
     return self.mNoBody ? 1 : 0;
   }
 
-  void FinishResponseHead()
+  /** @return What is wrong with the head, if anything. */
+  const char* FinishResponseHead()
   {
     for (http_field& field : mMessage.mFields) {
       TrimEnd(field.mValue);
     }
+    if (const char* defect = FramingDefect(mMessage, mParser.http_minor)) {
+      return defect;
+    }
     mMessage.mCloseDelimited = NeedsEof(&mParser) != 0 && !mNoBody;
     mSyntax.BeginBody();
+    return nullptr;
   }
 
   static int OnBody(::http_parser* aParser, const char* aAt, size_t aLength)
--- a/test/support/answer_cases.h
+++ b/test/support/answer_cases.h
@@ -217,6 +217,60 @@
   return cases.Take();
 }
 
+/** Answers that do not say clearly where their body ends. */
+inline answer_cases
+BrokenFraming(const std::string& aFields)
+{
+  answer_case_builder cases(aFields);
+  for (const char* length : { "",
+                              " ",
+                              "-1",
+                              "+1",
+                              "1 1",
+                              "1,2",
+                              "1, 2",
+                              "0x1",
+                              "1.0",
+                              "1x",
+                              "x",
+                              "18446744073709551615",
+                              "18446744073709551616",
+                              "99999999999999999999999" }) {
+    cases.AddFraming(
+      { std::string("Content-Length: ") + length + "\r\n\r\nx" });
+  }
+  for (const char* coding : { "",
+                              "gzip",
+                              "identity",
+                              "chunke",
+                              "xchunked",
+                              "chunked, gzip",
+                              "gzip, chunked",
+                              "identity, chunked",
+                              "chunked, chunked",
+                              "chunked;a=b",
+                              "chunked x",
+                              "\"chunked\"" }) {
+    cases.AddFraming({ std::string("Transfer-Encoding: ") + coding +
+                       "\r\n\r\n1\r\nx\r\n0\r\n\r\n" });
+  }
+  cases.AddFraming({
+    "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxy",
+    "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "1\r\nx\r\n0\r\n\r\n",
+    "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n"
+    "1\r\nx\r\n0\r\n\r\n",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "1\r\nx\r\n0\r\n\r\n",
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "1\r\nx\r\n0\r\n\r\n",
+    "Transfer-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx",
+  });
+  cases.AddStatusLines({ "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+                         "HTTP/1.1 204 None\r\nTransfer-Encoding: chunked" });
+  return cases.Take();
+}
+
 /** The broken answers of which one part is broken. */
 struct broken_part
 {
@@ -230,6 +284,7 @@
   static const std::vector<broken_part> kParts{
     { "StatusLine", BrokenStatusLines },
     { "Fields", BrokenFields },
+    { "Framing", BrokenFraming },
   };
   return kParts;
 }
