Answers 204 and 304 with a length wait for a body

Callers saw: no answer until the deadline where a leaf answered 304, or 204, with a Content-Length. Such answers are sound: the length is that of a body that is not sent.

Cause: http_parser reads a body wherever there is a length.

Change: http_reader ends responses with status 1xx, 204 and 304 with their heads.

Result: HttpResponse.SomeStatusesHaveNoBodyWhateverTheLength failed before and passes now.

--- a/src/http/http_reader.cpp
+++ b/src/http/http_reader.cpp
@@ -43,6 +43,13 @@
 /** The library's limit; above the configured ones, which CountHead() checks. */
 constexpr std::size_t kLibraryMaxHeadBytes = 1U << 20U;
 
+/** Statuses whose responses end with their heads, whatever the fields say. */
+bool
+IsWithoutBody(unsigned aStatus)
+{
+  return aStatus / 100 == 1 || aStatus == 204 || aStatus == 304;
+}
+
 void
 TrimEnd(std::string& aValue)
 {
@@ -165,7 +172,8 @@
     }
     const bool hasLength =
       aParser->content_length != std::numeric_limits<std::uint64_t>::max();
-    if (hasLength && aParser->content_length > self.mBodyLimit) {
+    if (hasLength && !self.mNoBody &&
+        aParser->content_length > self.mBodyLimit) {
       return self.Fail(state::BodyTooLarge, "body too large");
     }
     self.mState = state::Body;
@@ -181,6 +189,7 @@
     if (const char* defect = FramingDefect(mMessage, mParser.http_minor)) {
       return defect;
     }
+    mNoBody = mNoBody || IsWithoutBody(mParser.status_code);
     mMessage.mCloseDelimited = NeedsEof(&mParser) != 0 && !mNoBody;
     mSyntax.BeginBody();
     return nullptr;
@@ -206,13 +215,10 @@
    * before the library has decided. */
   static int NeedsEof(const ::http_parser* aParser)
   {
-    const bool noBody = aParser->status_code / 100 == 1 ||
-                        aParser->status_code == 204 ||
-                        aParser->status_code == 304;
     const bool framed =
       (aParser->flags & F_CHUNKED) != 0 ||
       aParser->content_length != std::numeric_limits<std::uint64_t>::max();
-    return !noBody && !framed ? 1 : 0;
+    return !IsWithoutBody(aParser->status_code) && !framed ? 1 : 0;
   }
 };
 
--- a/test/http/http_response_test.cpp
+++ b/test/http/http_response_test.cpp
@@ -79,5 +79,17 @@
   EXPECT_EQ(*reader.Message().Find("Empty"), "");
 }
 
+/** The reader waited for a body that never comes. */
+TEST(HttpResponse, SomeStatusesHaveNoBodyWhateverTheLength)
+{
+  for (const char* status : { "103", "204", "304" }) {
+    http::http_reader reader(http::http_reader::role::Responses);
+    const std::string text = std::string("HTTP/1.1 ") + status +
+                             " Status\r\nContent-Length: 5\r\n\r\n";
+    EXPECT_EQ(reader.Feed(text + "HTTP/"), text.size()) << status;
+    EXPECT_EQ(reader.State(), state::Complete) << status;
+  }
+}
+
 } // namespace
 } // namespace monsooncroft::http
