Answers with broken chunks reached callers

Callers saw: a body that was not the leaf's: where the end of a chunk was missing, two other bytes of the body were dropped in its place. Broken sizes, extensions and trailers passed, too.

Cause: the lenient build of http_parser does not look at the two bytes behind a chunk, at what follows a size, or at the end of the message.

Change: the syntax check goes on through a body in chunks: sizes, extensions, ends of chunks, trailers.

--- a/src/http/http_reader.cpp
+++ b/src/http/http_reader.cpp
@@ -191,7 +191,7 @@
     }
     mNoBody = mNoBody || IsWithoutBody(mParser.status_code);
     mMessage.mCloseDelimited = NeedsEof(&mParser) != 0 && !mNoBody;
-    mSyntax.BeginBody();
+    mSyntax.BeginBody((mParser.flags & F_CHUNKED) != 0);
     return nullptr;
   }
 
--- a/src/http/response_syntax.cpp
+++ b/src/http/response_syntax.cpp
@@ -4,7 +4,10 @@
  */
 #include "http/response_syntax_base.h"
 
+#include <algorithm>
 #include <array>
+#include <limits>
+#include <optional>
 
 namespace monsooncroft::http {
 
@@ -19,6 +22,12 @@
   return aByte >= '0' && aByte <= '9';
 }
 
+constexpr bool
+IsBlank(unsigned char aByte)
+{
+  return aByte == ' ' || aByte == '\t';
+}
+
 /** Bytes of values and reason phrases: all but control characters. */
 constexpr bool
 IsText(unsigned char aByte)
@@ -43,6 +52,19 @@
   return kTokenBytes[aByte];
 }
 
+std::optional<unsigned>
+HexDigit(unsigned char aByte)
+{
+  if (IsDigit(aByte)) {
+    return aByte - '0';
+  }
+  const auto lower = static_cast<unsigned char>(aByte | 0x20U);
+  if (lower >= 'a' && lower <= 'f') {
+    return lower - 'a' + 10;
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 std::size_t
@@ -52,9 +74,20 @@
   while (position < aBytes.size() && mDefect == nullptr) {
     switch (mPlace) {
       case place::EndOfHead:
+      case place::EndOfBody:
         return position;
       case place::Body:
         return aBytes.size();
+      case place::ChunkData: {
+        const auto data =
+          std::min<std::uint64_t>(mChunkRemaining, aBytes.size() - position);
+        position += static_cast<std::size_t>(data);
+        mChunkRemaining -= data;
+        if (mChunkRemaining == 0) {
+          mPlace = place::ChunkDataEnd;
+        }
+        break;
+      }
       default:
         if (!CheckByte(static_cast<unsigned char>(aBytes[position]))) {
           return position;
@@ -66,9 +99,9 @@
 }
 
 void
-response_syntax::BeginBody()
+response_syntax::BeginBody(bool aChunked)
 {
-  mPlace = place::Body;
+  mPlace = aChunked ? place::ChunkSizeStart : place::Body;
 }
 
 bool
@@ -104,8 +137,18 @@
     case place::StatusEnd:
     case place::Reason:
       return CheckStatusLine(aByte);
-    default:
+    case place::FieldStart:
+    case place::FieldName:
+    case place::FieldValue:
       return CheckField(aByte);
+    case place::ChunkSizeStart:
+    case place::ChunkSize:
+      return CheckChunkSize(aByte);
+    case place::ChunkDataEnd:
+      return aByte == '\r' ? EndLine(place::ChunkSizeStart)
+                           : Fail("chunk not followed by the end of a line");
+    default:
+      return CheckExtension(aByte);
   }
 }
 
@@ -149,7 +192,7 @@
   switch (mPlace) {
     case place::FieldStart:
       if (aByte == '\r') {
-        return EndLine(place::EndOfHead);
+        return EndLine(mInTrailer ? place::EndOfBody : place::EndOfHead);
       }
       return IsToken(aByte) ? GoTo(place::FieldName)
                             : Fail("invalid start of a field");
@@ -166,4 +209,82 @@
   }
 }
 
+bool
+response_syntax::CheckChunkSize(unsigned char aByte)
+{
+  const auto digit = HexDigit(aByte);
+  if (!digit) {
+    return mPlace == place::ChunkSize ? EndChunkItem(aByte)
+                                      : Fail("invalid size of a chunk");
+  }
+  if (mPlace == place::ChunkSizeStart) {
+    mChunkRemaining = 0;
+  }
+  if (mChunkRemaining > std::numeric_limits<std::uint64_t>::max() >> 4U) {
+    return Fail("chunk too large");
+  }
+  mChunkRemaining = mChunkRemaining << 4U | *digit;
+  return GoTo(place::ChunkSize);
+}
+
+bool
+response_syntax::EndChunkItem(unsigned char aByte)
+{
+  if (aByte == ';') {
+    return GoTo(place::ExtensionStart);
+  }
+  // Blanks are allowed only before a semicolon.
+  if (IsBlank(aByte)) {
+    return GoTo(place::SemicolonOnly);
+  }
+  if (aByte != '\r' || mPlace == place::SemicolonOnly) {
+    return Fail("invalid size or extension of a chunk");
+  }
+  mInTrailer = mChunkRemaining == 0;
+  return EndLine(mInTrailer ? place::FieldStart : place::ChunkData);
+}
+
+bool
+response_syntax::CheckExtension(unsigned char aByte)
+{
+  constexpr const char* kDefect = "invalid extension of a chunk";
+  switch (mPlace) {
+    case place::ExtensionStart:
+      return IsBlank(aByte) ||
+             (IsToken(aByte) ? GoTo(place::ExtensionName) : Fail(kDefect));
+    case place::ExtensionName:
+    case place::ExtensionNameEnd:
+      if (aByte == '=') {
+        return GoTo(place::ExtensionValueStart);
+      }
+      if (IsBlank(aByte)) {
+        return GoTo(place::ExtensionNameEnd);
+      }
+      if (mPlace == place::ExtensionNameEnd) {
+        return aByte == ';' ? GoTo(place::ExtensionStart) : Fail(kDefect);
+      }
+      return IsToken(aByte) || EndChunkItem(aByte);
+    case place::ExtensionValueStart:
+      if (aByte == '"') {
+        return GoTo(place::ExtensionQuoted);
+      }
+      return IsBlank(aByte) ||
+             (IsToken(aByte) ? GoTo(place::ExtensionToken) : Fail(kDefect));
+    case place::ExtensionToken:
+      return IsToken(aByte) || EndChunkItem(aByte);
+    case place::ExtensionQuoted:
+      if (aByte == '"') {
+        return GoTo(place::ExtensionEnd);
+      }
+      if (aByte == '\\') {
+        return GoTo(place::ExtensionEscaped);
+      }
+      return IsText(aByte) || Fail(kDefect);
+    case place::ExtensionEscaped:
+      return IsText(aByte) ? GoTo(place::ExtensionQuoted) : Fail(kDefect);
+    default:
+      return EndChunkItem(aByte);
+  }
+}
+
 } // namespace monsooncroft::http
--- a/test/support/answer_cases.h
+++ b/test/support/answer_cases.h
@@ -271,6 +271,63 @@
   return cases.Take();
 }
 
+/** Answers whose body or trailer section is broken. */
+inline answer_cases
+BrokenChunks(const std::string& aFields)
+{
+  answer_case_builder cases(aFields);
+  const std::string end = "0\r\n\r\n";
+  for (const char* size : { "",
+                            "g",
+                            "-1",
+                            "+1",
+                            " 1",
+                            "0x1",
+                            "1 ",
+                            "1 1",
+                            "1x",
+                            "1;",
+                            "1;=v",
+                            "1;a=",
+                            "1;a b",
+                            "1;a=\"v",
+                            "1;a=\"v\"w",
+                            "1;\x01=v",
+                            "1;a=\x01",
+                            "1;a=\"\x01\"",
+                            "1;a=\"\\\x01\"",
+                            "1\r",
+                            "10000000000000001",
+                            "ffffffffffffffffff" }) {
+    cases.AddChunks({ std::string(size) + "\r\nx\r\n" + end });
+  }
+  cases.AddChunks({ "1\nx\r\n" + end,
+                    "1\r\nxy\r\n" + end,
+                    "1\r\nx\n" + end,
+                    "1\r\nx\r" + end,
+                    "1\r\nx" + end,
+                    "1\r\nxab" + end,
+                    "1\r\nx\rb" + end,
+                    "2\r\nx\r\n" + end,
+                    "1\r\nx\r\n0\n\r\n",
+                    "1\r\nx\r\n0\r\n\n",
+                    "1\r\nx\r\n0\r\n\rx",
+                    "1\r\nx\r\n00 \r\n\r\n" });
+  for (const char* trailer : { "Name\r\n",
+                               "Na me: v\r\n",
+                               "Name : v\r\n",
+                               " Name: v\r\n",
+                               ": v\r\n",
+                               "Na\x01me: v\r\n",
+                               "Name: \x01\r\n",
+                               "Name: v\n",
+                               "Name: v\rx\r\n",
+                               "Name: v\r\n folded\r\n" }) {
+    cases.AddChunks({ std::string("1\r\nx\r\n0\r\n") + trailer + "\r\n" });
+  }
+  return cases.Take();
+}
+
 /** The broken answers of which one part is broken. */
 struct broken_part
 {
@@ -285,6 +342,7 @@
     { "StatusLine", BrokenStatusLines },
     { "Fields", BrokenFields },
     { "Framing", BrokenFraming },
+    { "Chunks", BrokenChunks },
   };
   return kParts;
 }
