Fields behind the body of an answer count as fields of its head

Callers saw: fields of the trailer section among those of the head. A leaf's trailer could say that a request has not run which had run, and name the request that an answer belongs to.

Cause: http_parser reports both kinds of fields in the same way, and http_reader collected them in one list.

Change: http_reader checks and drops the fields behind a response's body. RFC 9110 allows to merge them only where a field's definition permits it; none of the protocol's does.

Result: HttpResponse.TrailersAreNoFieldsOfTheHead failed before and passes now.

--- a/src/http/http_reader.cpp
+++ b/src/http/http_reader.cpp
@@ -125,6 +125,13 @@
     return -1;
   }
 
+  /** Whether the fields being read are behind the body of a response. Their
+   * sender cannot rely on a recipient that merges them with the head's. */
+  bool InTrailer() const
+  {
+    return mState == state::Body && mParser.type == HTTP_RESPONSE;
+  }
+
   static int OnBegin(::http_parser* aParser)
   {
     Of(aParser).mState = state::Head;
@@ -141,6 +148,9 @@
   static int OnField(::http_parser* aParser, const char* aAt, size_t aLength)
   {
     parser& self = Of(aParser);
+    if (self.InTrailer()) {
+      return self.CountHead(aLength);
+    }
     if (self.mInValue || self.mMessage.mFields.empty()) {
       self.mMessage.mFields.emplace_back();
       self.mInValue = false;
@@ -152,6 +162,9 @@
   static int OnValue(::http_parser* aParser, const char* aAt, size_t aLength)
   {
     parser& self = Of(aParser);
+    if (self.InTrailer()) {
+      return self.CountHead(aLength + 4);
+    }
     self.mInValue = true;
     self.mMessage.mFields.back().mValue.append(aAt, aLength);
     return self.CountHead(aLength + 4);
--- a/test/http/http_response_test.cpp
+++ b/test/http/http_response_test.cpp
@@ -79,6 +79,18 @@
   EXPECT_EQ(*reader.Message().Find("Empty"), "");
 }
 
+/** Fields behind the body counted as fields of the head, such as one by which a
+ * leaf says that it has not run the request. */
+TEST(HttpResponse, TrailersAreNoFieldsOfTheHead)
+{
+  http::http_reader reader(http::http_reader::role::Responses);
+  reader.Feed("HTTP/1.1 200 OK\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "1\r\nx\r\n0\r\nX-Not: 1\r\nA: c\r\n\r\n");
+  ASSERT_EQ(reader.State(), state::Complete);
+  EXPECT_EQ(reader.Message().Find("X-Not"), nullptr);
+  EXPECT_EQ(reader.Message().mFields.size(), 2U);
+}
+
 /** The reader waited for a body that never comes. */
 TEST(HttpResponse, SomeStatusesHaveNoBodyWhateverTheLength)
 {
