--- a/src/gateway/leaf_connection.cpp
+++ b/src/gateway/leaf_connection.cpp
@@ -157,7 +157,9 @@
       Close(attempt_end::OutcomeUnknown, "malformed answer");
       return;
     }
-    ReadNotices();
+    if (mReader.HeadIsFinal()) {
+      ReadNotices();
+    }
     if (mReader.State() != http_reader::state::Complete) {
       return;
     }
@@ -223,9 +225,8 @@
 leaf_connection::ReadNotices()
 {
   const http_message& head = mReader.Message();
-  const bool headComplete = mReader.State() >= http_reader::state::Body;
   // 421: another leaf has this address.
-  if (mNoticesRead || !headComplete || head.mStatus == 421) {
+  if (mNoticesRead || head.mStatus == 421) {
     return;
   }
   mNoticesRead = true;
@@ -315,6 +316,9 @@
   } else if (aEnd == attempt_end::OutcomeUnknown && mState == state::Idle) {
     end = connection_end::IdleTimeout;
   }
+  if (mReader.State() == http_reader::state::Body) {
+    ReadNotices(); // The answer is cut off, not malformed.
+  }
   mState = state::Closed;
   mStateSince = event_loop::Now();
   const leaf_attempt_ptr attempt = std::move(mAttempt);
--- a/src/gateway/leaf_connection_base.h
+++ b/src/gateway/leaf_connection_base.h
@@ -71,8 +71,8 @@
   static attempt_result Judge(answer_match aMatch, const http_message& aAnswer);
   void ReadKeepAliveTimeout(const http_message& aAnswer);
   void ReadRateLimit(const http_message& aAnswer);
-  /** Reads what the leaf says of itself as soon as an answer's head is
-   * complete, whatever becomes of the answer. */
+  /** Reads what the leaf says of itself in an answer's head, which need not be
+   * followed by the whole answer. */
   void ReadNotices();
 
   event_loop& mLoop;
--- a/src/http/http_reader.cpp
+++ b/src/http/http_reader.cpp
@@ -337,6 +337,14 @@
   return mParser->mDefect;
 }
 
+bool
+http_reader::HeadIsFinal() const
+{
+  const bool chunked = (mParser->mParser.flags & F_CHUNKED) != 0;
+  return mParser->mState == state::Complete ||
+         (mParser->mState == state::Body && !chunked);
+}
+
 http_message&
 http_reader::Message()
 {
--- a/src/http/http_reader_base.h
+++ b/src/http/http_reader_base.h
@@ -56,6 +56,9 @@
   state State() const;
   /** What is wrong with a message that cannot be read; empty if nothing is. */
   const char* Defect() const;
+  /** Whether the head is complete and no byte that follows can make the message
+   * malformed, as one in a body in chunks can. */
+  bool HeadIsFinal() const;
   http_message& Message();
   void NextMessage(); ///< Drops the complete message and starts the next one.
 
--- a/test/gateway/broken_answers_test.cpp
+++ b/test/gateway/broken_answers_test.cpp
@@ -167,6 +167,56 @@
                            return std::string(aInfo.param.mName);
                          });
 
+/** An answer in chunks by a leaf that says that it leaves, and what follows. */
+struct late_end
+{
+  const char* mName;
+  const char* mBytes; ///< Sent later than the head; null: a reset.
+  bool mLeavingCounts;
+};
+
+class broken_answers_end
+  : public broken_answers
+  , public testing::WithParamInterface<late_end>
+{};
+
+/** A leaf's word that it leaves counted although its answer broke later on. It
+ * must count if the answer was only cut off. */
+TEST_P(broken_answers_end, DecidesWhetherTheHeadCounts)
+{
+  const late_end& param = GetParam();
+  std::vector<std::unique_ptr<loop_timer>> timers;
+  fake_leaf& leaf =
+    AddLeaf("plain", [&](auto& aConnection, const auto& aRequest) {
+      aConnection.Write("HTTP/1.1 200 OK\r\n" + LeafFields(aRequest) +
+                        "X-Leaving: 1\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n");
+      timers.push_back(std::make_unique<loop_timer>(
+        mLoop, [&aConnection, bytes = param.mBytes] {
+          if (bytes != nullptr) {
+            aConnection.Write(bytes);
+          } else {
+            aConnection.Reset();
+          }
+        }));
+      timers.back()->Start(std::chrono::milliseconds(20));
+    });
+  AddSingleServiceRoute(serving::repeatability::RunOnce);
+  Start();
+  Send("/one/x");
+  ++mCase;
+  Send("/one/x");
+  EXPECT_EQ(leaf.mRequests, param.mLeavingCounts ? 1 : 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  ends,
+  broken_answers_end,
+  testing::Values(late_end{ "Broken", "no chunk\r\n", false },
+                  late_end{ "Sound", "0\r\n\r\n", true },
+                  late_end{ "Reset", nullptr, true }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
 TEST_F(broken_answers, TheDefectIsCounted)
 {
   AddLeafWithCases("plain", test_support::BrokenStatusLines);
