The log does not tell broken answers of the store and of roots from none

Seen: an answer of the store that is no HTTP was logged as "unreachable", one of a root as "no answer".

Cause: http_channel reports all calls without a usable response in the same way.

Change: a channel says what is wrong with the last response.

--- a/src/gateway/http_channel.cpp
+++ b/src/gateway/http_channel.cpp
@@ -45,6 +45,7 @@
   mOnResponse = std::move(aOnResponse);
   mOnInterim = std::move(aOnInterim);
   mSentAt.reset();
+  mDefect = "";
   mTimer.Start(aTimeout);
   if (mStream && mConnected) {
     mSentAt = event_loop::Now();
@@ -106,6 +107,7 @@
     }
   }
   if (mReader.State() >= http_reader::state::Malformed) {
+    mDefect = mReader.Defect();
     Finish(std::nullopt, false);
   } else if (mReader.State() == http_reader::state::Complete) {
     http_message answer = std::move(mReader.Message());
--- a/src/gateway/http_channel_base.h
+++ b/src/gateway/http_channel_base.h
@@ -53,6 +53,9 @@
   bool Connected() const { return mConnected; }
   /** When the last call was written to a connection; nothing if it was not. */
   std::optional<model::instant> SentAt() const { return mSentAt; }
+  /** What was wrong with the last call's response; empty if nothing was, or if
+   * there was none. */
+  const char* Defect() const { return mDefect; }
   /** Whether the loop will report something of the connection when it next
    * polls. */
   bool HasUnreportedEvent() const;
@@ -76,6 +79,7 @@
   interim_handler mOnInterim;
   bool mConnected = false;
   std::optional<model::instant> mSentAt; ///< See SentAt().
+  const char* mDefect = "";              ///< See Defect().
 };
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/relay_client.cpp
+++ b/src/gateway/relay_client.cpp
@@ -250,12 +250,13 @@
     execution& current = *mExecutions[aExecution];
     current.mTimer.Stop();
     const bool wasSent = current.mChannel->SentAt().has_value();
+    const char* defect = current.mChannel->Defect();
     mClient.ReturnChannel(mTried[aExecution], std::move(current.mChannel));
     if (mHandOver.IsDone()) {
       return;
     }
     if (!aAnswer) {
-      OnNoAnswer(aExecution, wasSent, now);
+      OnNoAnswer(aExecution, wasSent, defect, now);
     } else if (const auto* reason = aAnswer->Find(relay_fields::kRefused)) {
       mReason = "refused";
       NoteEvent(*reason, now);
@@ -271,10 +272,18 @@
     UpdateTimer(now);
   }
 
-  void OnNoAnswer(std::size_t aExecution, bool aWasSent, model::instant aNow)
+  /** @param aDefect What is wrong with the answer; empty if none came. */
+  void OnNoAnswer(std::size_t aExecution,
+                  bool aWasSent,
+                  const char* aDefect,
+                  model::instant aNow)
   {
     mReason =
       mExecutions[aExecution]->mConfirmed ? "no answer" : "not confirmed";
+    if (*aDefect != '\0') {
+      mReason = "malformed answer";
+      NoteEvent(aDefect, aNow);
+    }
     NoteEvent(aWasSent ? "lost" : "not sent", aNow);
     if (aNow >= mQuery.mDeadline) {
       mHandOver.OnDeadline();
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -5,6 +5,7 @@
 #include "instance_fixture.h"
 
 #include "gateway/relay_client_base.h"
+#include "support/answer_cases.h"
 
 #include <array>
 #include <netinet/in.h>
@@ -420,6 +421,27 @@
   EXPECT_EQ(SendRequest("/all/x", "r").mBody, "direct");
 }
 
+/** The answer of a root in trouble reached the caller. */
+TEST_F(relay_test, BrokenAnswersAreNotPassedOn)
+{
+  // Each case needs a root that has not failed yet.
+  constexpr std::size_t kStep = 13;
+  for (const test_support::broken_part& part : test_support::BrokenParts()) {
+    const auto cases = part.mMake("X-Sigs: a\r\n");
+    for (std::size_t index = 0; index < cases.size(); index += kStep) {
+      mAddresses.clear();
+      mFallback.reset();
+      const fake_leaf& root =
+        AddRoot(Answering(kConfirmation + cases[index].mText));
+      EXPECT_EQ(SendRequest("/all/x", "r").mBody, "direct")
+        << cases[index].mName;
+      EXPECT_EQ(mFallback, std::optional(true)) << cases[index].mName;
+      EXPECT_EQ(root.mRequests, 1) << cases[index].mName;
+    }
+  }
+  EXPECT_NE(mMetrics.Exposition().find("malformed answer"), std::string::npos);
+}
+
 TEST_F(relay_test, TheRootLearnsThatTheCallerHasLeft)
 {
   fake_leaf& root = AddRoot(Answering(kConfirmation));
