Broken answers count in the older data path, the store's older client and ctl

Seen: monsooncroftd took answers with status 001 or 999, folded fields, codings such as "xchunked" and broken chunks for answers of leaves, instances and the store; monsooncroftctl did the same. An interim response (1xx) ended a call. A second answer in the same packet was taken for the answer to the next request.

Cause: these connections had another reader, Beast's. It checks neither the range of a status nor the coding, and its buffer outlived the exchange.

Change: they read with http_reader, so that one place decides what an answer is. Malformed answers are logged (answer_malformed) with the peer and the defect, by monsooncroftctl on standard error. Bytes behind an answer close the connection.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -61,7 +61,11 @@
 ctl::exit_code
 Run(const ctl::command_options& aOptions)
 {
-  const auto connector = net::http_connector::Create(1);
+  const auto connector = net::http_connector::Create(
+    1, [](const model::endpoint& aPeer, const char* aDefect) {
+      std::cerr << "malformed answer of " << aPeer.ToString() << ": " << aDefect
+                << "\n";
+    });
   net::http_pool pool(*connector, kIdleConnections);
   ctl::http_instance_client instances(pool);
   std::unique_ptr<store::platform_client> store;
--- a/src/entry/daemon.cpp
+++ b/src/entry/daemon.cpp
@@ -129,7 +129,14 @@
   , mLog(mId.Value(), LogLevelOf(aSettings))
   , mAlarms(mLog)
   , mConnector(net::http_connector::Create(
-      static_cast<int>(aSettings.Integer(setting::IoThreads))))
+      static_cast<int>(aSettings.Integer(setting::IoThreads)),
+      [this](const model::endpoint& aPeer, const char* aDefect) {
+        mMetrics.Count("answers_malformed", { { "defect", aDefect } });
+        mLog.Write(
+          ops::log_level::Warning,
+          "answer_malformed",
+          { { "peer", aPeer.ToString() }, { "defect", std::string(aDefect) } });
+      }))
   , mWorkers(worker_pool::Create(kPlatformWorkers))
   , mPeers(*mConnector, kIdlePeerConnections)
   , mPlatformPool(*mConnector, kIdlePlatformConnections)
--- a/src/net/http_connector.cpp
+++ b/src/net/http_connector.cpp
@@ -1,6 +1,7 @@
 /**
  * @file http_connector.cpp
- * Outgoing connections over Boost.Beast, which writes each request once.
+ * Outgoing connections over Boost.Beast, which writes each request once. Its
+ * reader accepts responses that are no HTTP/1.1, so http_reader reads them.
  *
  * The HTTP client of cxxtools, the library behind the listeners, resends a
  * request by itself when a keep-alive connection breaks. That would violate
@@ -8,8 +9,10 @@
  */
 #include "net/http_connector_base.h"
 
+#include "http/http_reader_base.h"
 #include "net/http_connection_base.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -21,9 +24,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <atomic>
 #include <cerrno>
-#include <optional>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -34,10 +38,12 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
+namespace beast_http = boost::beast::http;
 using error_code = boost::system::error_code;
 
 constexpr std::size_t kMaxResponseBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxHeadBytes = 8 * 1024;
+constexpr std::size_t kReadBytes = 4 * 1024;
 constexpr unsigned kHttpVersion = 11;
 /** TCP closes a connection whose sent bytes stay unacknowledged for this long,
  * in milliseconds. */
@@ -52,12 +58,16 @@
   , public std::enable_shared_from_this<beast_connection>
 {
 public:
-  beast_connection(asio::io_context& aContext, model::endpoint aPeer)
+  beast_connection(asio::io_context& aContext,
+                   model::endpoint aPeer,
+                   http_connector::malformed_handler aOnMalformed)
     : mStrand(asio::make_strand(aContext))
     , mStream(mStrand)
     , mDeadline(mStrand)
     , mPeer(std::move(aPeer))
+    , mOnMalformed(std::move(aOnMalformed))
   {
+    mReader.SetLimits(kMaxHeadBytes, kMaxResponseBytes);
   }
 
   void Exchange(const http_request& aRequest,
@@ -90,13 +100,12 @@
   {
     mDone = std::move(aDone);
     mResult = exchange_result();
-    mParser.emplace();
-    mParser->body_limit(kMaxResponseBytes);
-    mRequest = { http::string_to_verb(aRequest.mMethod),
+    mReader.NextMessage();
+    mRequest = { beast_http::string_to_verb(aRequest.mMethod),
                  aRequest.mTarget,
                  kHttpVersion };
-    mRequest.set(http::field::host, mPeer.mAddress);
-    mRequest.set(http::field::content_type, "application/json");
+    mRequest.set(beast_http::field::host, mPeer.mAddress);
+    mRequest.set(beast_http::field::content_type, "application/json");
     mRequest.body() = aRequest.mBody;
     mRequest.prepare_payload();
     mDeadline.expires_after(aTimeout);
@@ -168,49 +177,79 @@
   void Write()
   {
     mResult.mState = send_state::MaybeSent;
-    http::async_write(mStream,
-                      mRequest,
-                      [self = shared_from_this(), exchange = mExchangeNumber](
-                        const error_code& aError, std::size_t /*aBytes*/) {
-                        if (exchange != self->mExchangeNumber) {
-                          return;
-                        }
-                        if (aError) {
-                          self->End(exchange_error::Closed);
-                        } else {
-                          self->Read();
-                        }
-                      });
+    beast_http::async_write(
+      mStream,
+      mRequest,
+      [self = shared_from_this(), exchange = mExchangeNumber](
+        const error_code& aError, std::size_t /*aBytes*/) {
+        if (exchange != self->mExchangeNumber) {
+          return;
+        }
+        if (aError) {
+          self->End(exchange_error::Closed);
+        } else {
+          self->Read();
+        }
+      });
   }
 
   void Read()
   {
-    http::async_read(mStream,
-                     mBuffer,
-                     *mParser,
-                     [self = shared_from_this(), exchange = mExchangeNumber](
-                       const error_code& aError, std::size_t /*aBytes*/) {
-                       if (exchange == self->mExchangeNumber) {
-                         self->OnRead(aError);
-                       }
-                     });
+    mStream.async_read_some(
+      asio::buffer(mBuffer),
+      [self = shared_from_this(), exchange = mExchangeNumber](
+        const error_code& aError, std::size_t aBytes) {
+        if (exchange == self->mExchangeNumber) {
+          self->OnRead(aError, aBytes);
+        }
+      });
   }
 
-  void OnRead(const error_code& aError)
+  void OnRead(const error_code& aError, std::size_t aBytes)
   {
-    if (aError) {
-      const bool ended =
-        aError == http::error::end_of_stream ||
-        aError == http::error::partial_message ||
-        aError.category() == asio::error::get_system_category();
-      End(ended ? exchange_error::Closed : exchange_error::Malformed);
-      return;
+    std::string_view bytes(mBuffer.data(), aBytes);
+    if (aError == asio::error::eof) {
+      mReader.FeedEof();
+    }
+    do {
+      bytes.remove_prefix(mReader.Feed(bytes));
+    } while (SkipInterim() && !bytes.empty());
+    using state = http::http_reader::state;
+    if (mReader.State() == state::Complete) {
+      OnResponse(!bytes.empty() || aError);
+    } else if (mReader.State() >= state::Malformed) {
+      if (mOnMalformed) {
+        mOnMalformed(mPeer, mReader.Defect());
+      }
+      End(exchange_error::Malformed);
+    } else if (aError) {
+      End(exchange_error::Closed);
+    } else {
+      Read();
     }
-    auto message = mParser->release();
+  }
+
+  /** Drops an interim response (1xx). @return Whether there was one. */
+  bool SkipInterim()
+  {
+    const bool isInterim =
+      mReader.State() == http::http_reader::state::Complete &&
+      mReader.Message().mStatus / 100 == 1;
+    if (isInterim) {
+      mReader.NextMessage();
+    }
+    return isInterim;
+  }
+
+  /** @param aClose Whether the connection cannot be used again: it has ended,
+   * or bytes follow that belong to no request. */
+  void OnResponse(bool aClose)
+  {
+    http::http_message& message = mReader.Message();
     mResult.mState = send_state::Replied;
-    mResult.mResponse.mStatus = static_cast<int>(message.result_int());
-    mResult.mResponse.mClose = !message.keep_alive();
-    mResult.mResponse.mBody = std::move(message.body());
+    mResult.mResponse.mStatus = message.mStatus;
+    mResult.mResponse.mClose = aClose || !message.mKeepAlive;
+    mResult.mResponse.mBody = std::move(message.mBody);
     End(exchange_error::None);
   }
 
@@ -237,9 +276,10 @@
   beast::tcp_stream mStream;
   asio::steady_timer mDeadline; ///< Timeout of the exchange in progress.
   model::endpoint mPeer;
-  beast::flat_buffer mBuffer;
-  http::request<http::string_body> mRequest;
-  std::optional<http::response_parser<http::string_body>> mParser;
+  http_connector::malformed_handler mOnMalformed; ///< May be null.
+  std::array<char, kReadBytes> mBuffer;
+  http::http_reader mReader{ http::http_reader::role::Responses };
+  beast_http::request<beast_http::string_body> mRequest;
   exchange_result mResult;
   callback mDone; ///< Set while an exchange is in progress.
   unsigned long mExchangeNumber =
@@ -252,8 +292,9 @@
 class beast_connector : public http_connector
 {
 public:
-  explicit beast_connector(int aThreads)
-    : mWork(asio::make_work_guard(mContext))
+  beast_connector(int aThreads, malformed_handler aOnMalformed)
+    : mOnMalformed(std::move(aOnMalformed))
+    , mWork(asio::make_work_guard(mContext))
   {
     for (int i = 0; i < aThreads; ++i) {
       mThreads.emplace_back([this] { mContext.run(); });
@@ -269,7 +310,7 @@
 
   std::shared_ptr<http_connection> Open(const model::endpoint& aPeer) override
   {
-    return std::make_shared<beast_connection>(mContext, aPeer);
+    return std::make_shared<beast_connection>(mContext, aPeer, mOnMalformed);
   }
 
   void RunAfter(model::duration aDelay, std::function<void()> aTask) override
@@ -294,6 +335,7 @@
   }
 
 private:
+  malformed_handler mOnMalformed;
   asio::io_context mContext;
   asio::executor_work_guard<asio::io_context::executor_type> mWork;
   std::vector<std::thread> mThreads;
@@ -302,9 +344,9 @@
 } // namespace
 
 std::unique_ptr<http_connector>
-http_connector::Create(int aThreads)
+http_connector::Create(int aThreads, malformed_handler aOnMalformed)
 {
-  return std::make_unique<beast_connector>(aThreads);
+  return std::make_unique<beast_connector>(aThreads, std::move(aOnMalformed));
 }
 
 } // namespace monsooncroft::net
--- a/src/net/http_connector_base.h
+++ b/src/net/http_connector_base.h
@@ -20,14 +20,22 @@
 class http_connector
 {
 public:
+  /** Called on an I/O thread for each response that is no HTTP/1.1, with what
+   * is wrong with it. */
+  using malformed_handler =
+    std::function<void(const model::endpoint& aPeer, const char* aDefect)>;
+
   virtual ~http_connector() = default;
 
   /**
    * Creates a connector and starts its I/O threads.
    * @param aThreads Number of I/O threads.
+   * @param aOnMalformed May be null.
    * @return The connector; its destructor stops the threads.
    */
-  static std::unique_ptr<http_connector> Create(int aThreads);
+  static std::unique_ptr<http_connector> Create(
+    int aThreads,
+    malformed_handler aOnMalformed = nullptr);
 
   /** Creates a connection to @p aPeer that connects on its first exchange. */
   virtual std::shared_ptr<http_connection> Open(
