An answer to HEAD behind an interim one waits for a body

Callers saw: 504 for a HEAD request whose leaf had sent an interim response (1xx) before its answer.

Cause: the reader forgets with each message that the next one has no body; it was told again behind an answer to another request only.

Change: it is told again behind an interim response, too.

Result: broken_answers.AnInterimAnswerMayPrecedeOneToHead failed before (504 after the deadline) and passes now.

--- a/src/gateway/leaf_connection.cpp
+++ b/src/gateway/leaf_connection.cpp
@@ -185,7 +185,6 @@
                         answer.Find(mHeaderNames.mNotRun) != nullptr });
   switch (match) {
     case answer_match::Interim:
-      return false;
     case answer_match::Foreign:
       mReader.ExpectNoBody(mAttempt->mRequest->mNoBodyExpected);
       return false;
--- a/test/gateway/broken_answers_test.cpp
+++ b/test/gateway/broken_answers_test.cpp
@@ -240,5 +240,18 @@
   }
 }
 
+/** The answer behind an interim one was read as if it had a body, which never
+ * came. */
+TEST_F(broken_answers, AnInterimAnswerMayPrecedeOneToHead)
+{
+  AddLeaf("plain", [](auto& aConnection, const auto& aRequest) {
+    aConnection.Write("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\n" +
+                      LeafFields(aRequest) + "Content-Length: 5\r\n\r\n");
+  });
+  AddSingleServiceRoute(serving::repeatability::RunOnce);
+  Start();
+  EXPECT_EQ(SendRequest("/one/x", "r", "", "HEAD").mStatus, 200);
+}
+
 } // namespace
 } // namespace monsooncroft::gateway
