--- a/src/http/http_reader.cpp
+++ b/src/http/http_reader.cpp
@@ -80,7 +80,7 @@
       }
     }
   }
-  if (lengths > 1 || codings > 1 || lengths + codings > 1) {
+  if (lengths + codings > 1) {
     return "more than one length of the body";
   }
   const bool mayBeChunked =
@@ -289,7 +289,7 @@
     }
     if (const char* defect = syntax.Defect()) {
       mParser->Fail(state::Malformed, defect);
-    } else if (conforming == 0) {
+    } else if (conforming == 0) { // The library expects more than the check.
       mParser->Fail(state::Malformed, "no end of the message");
     }
   }
--- a/src/http/http_reader_base.h
+++ b/src/http/http_reader_base.h
@@ -65,6 +65,7 @@
 private:
   struct parser;
 
+  /** Passes bytes to the library. @return Number of bytes consumed. */
   std::size_t FeedParser(std::string_view aBytes);
 
   std::unique_ptr<parser> mParser;
