--- a/test/gateway/broken_answers_test.cpp
+++ b/test/gateway/broken_answers_test.cpp
@@ -41,11 +41,12 @@
   }
 
   /** Sends a request and returns as soon as it is answered. */
-  http_message Send(const std::string& aTarget)
+  http_message Send(const std::string& aTarget,
+                    const std::string& aMethod = "GET")
   {
     std::optional<http_message> answer;
     mCaller = std::make_unique<http_channel>(mLoop, mSettings.mCallerAddress);
-    mCaller->Call("GET " + aTarget + " HTTP/1.1\r\nHost: h\r\nX-Id: r" +
+    mCaller->Call(aMethod + " " + aTarget + " HTTP/1.1\r\nHost: h\r\nX-Id: r" +
                     std::to_string(mCase) + "\r\nX-Left: 900\r\n\r\n",
                   std::chrono::seconds(3),
                   [&](std::optional<http_message> aAnswer) {
@@ -240,6 +241,58 @@
   }
 }
 
+/** Only the head of an answer to HEAD can be broken; nothing follows it. */
+TEST_F(broken_answers, NeverReachTheCallerOfAHeadRequest)
+{
+  decltype(broken_part::mMake) make = nullptr;
+  AddLeaf("plain", [&](auto& aConnection, const auto& aRequest) {
+    aConnection.Write(make(LeafFields(aRequest)).at(mCase).mText);
+  });
+  AddSingleServiceRoute(serving::repeatability::RunOnce);
+  Start();
+  for (const auto each : { test_support::BrokenStatusLines,
+                           test_support::BrokenFields,
+                           test_support::BrokenFraming }) {
+    make = each;
+    const answer_cases cases = make("");
+    for (mCase = 0; mCase < cases.size(); ++mCase) {
+      EXPECT_EQ(Send("/one/x", "HEAD").mStatus, 502) << cases[mCase].mName;
+    }
+  }
+}
+
+TEST_F(broken_answers, AnyTokenAndAnyTextReachTheCallerUnchanged)
+{
+  std::string name;
+  for (const auto& byte :
+       test_support::BytesThat(test_support::IsTokenByte, true)) {
+    name += byte;
+  }
+  std::string text = "a";
+  for (const auto& byte :
+       test_support::BytesThat(test_support::IsTextByte, true)) {
+    text += byte;
+  }
+  text += "z";
+  int status = 0;
+  AddLeaf("plain", [&](auto& aConnection, const auto& aRequest) {
+    aConnection.Write("HTTP/1.1 " + std::to_string(status) + " \r\n" +
+                      LeafFields(aRequest) + name + ":" + text +
+                      "\r\nContent-Length: 1\r\n\r\nx");
+  });
+  AddSingleServiceRoute(serving::repeatability::RunOnce);
+  Start();
+  for (const int each : { 200, 299, 404, 500, 599 }) {
+    status = each;
+    ++mCase;
+    const http_message answer = Send("/one/x");
+    EXPECT_EQ(answer.mStatus, each);
+    EXPECT_EQ(answer.mBody, "x");
+    ASSERT_NE(answer.Find(name), nullptr);
+    EXPECT_EQ(*answer.Find(name), text);
+  }
+}
+
 /** The answer behind an interim one was read as if it had a body, which never
  * came. */
 TEST_F(broken_answers, AnInterimAnswerMayPrecedeOneToHead)
