--- a/src/gateway/leaf_endpoint_base.h
+++ b/src/gateway/leaf_endpoint_base.h
@@ -211,7 +211,7 @@
                            std::optional<double> aPerSecond) = 0;
   virtual void OnRateLimitMalformed(const leaf_endpoint& aLeaf,
                                     const std::string& aValue) = 0;
-  /** The leaf's answer to a request is no HTTP/1.1. */
+  /** The leaf's answer to a request is not valid HTTP/1.1. */
   virtual void OnAnswerMalformed(const leaf_endpoint& aLeaf,
                                  const std::string& aRequestId,
                                  const char* aDefect) = 0;
--- a/src/http/http_reader_base.h
+++ b/src/http/http_reader_base.h
@@ -15,7 +15,8 @@
 namespace monsooncroft::http {
 
 /** Parses the messages of one connection in order. A response must conform to
- * the grammar of RFC 9112; none of its fields counts before. */
+ * the grammar of RFC 9112; its fields must not be used if it turns out not to.
+ */
 class http_reader
 {
 public:
@@ -56,8 +57,8 @@
   state State() const;
   /** What is wrong with a message that cannot be read; empty if nothing is. */
   const char* Defect() const;
-  /** Whether the head is complete and no byte that follows can make the message
-   * malformed, as one in a body in chunks can. */
+  /** Whether the head is complete and the message can no longer turn out to be
+   * malformed. A body in chunks can, until its end. */
   bool HeadIsFinal() const;
   http_message& Message();
   void NextMessage(); ///< Drops the complete message and starts the next one.
--- a/src/http/response_syntax_base.h
+++ b/src/http/response_syntax_base.h
@@ -13,8 +13,8 @@
 
 /**
  * Checks all of a response but the data of its body against the grammar of RFC
- * 9112, byte by byte. http_parser accepts much more, and does not always
- * understand it as the server means it.
+ * 9112, byte by byte. http_parser accepts more, such as blanks in names, and
+ * then reads a message whose body ends elsewhere.
  */
 class response_syntax
 {
--- a/src/net/http_connector.cpp
+++ b/src/net/http_connector.cpp
@@ -1,7 +1,8 @@
 /**
  * @file http_connector.cpp
  * Outgoing connections over Boost.Beast, which writes each request once. Its
- * reader accepts responses that are no HTTP/1.1, so http_reader reads them.
+ * reader accepts responses that are not valid HTTP/1.1, so http_reader reads
+ * them.
  *
  * The HTTP client of cxxtools, the library behind the listeners, resends a
  * request by itself when a keep-alive connection breaks. That would violate
@@ -42,8 +43,8 @@
 using error_code = boost::system::error_code;
 
 constexpr std::size_t kMaxResponseBytes = 4 * 1024 * 1024;
-constexpr std::size_t kMaxHeadBytes = 8 * 1024;
-constexpr std::size_t kReadBytes = 4 * 1024;
+constexpr std::size_t kMaxResponseHeadBytes = 8 * 1024;
+constexpr std::size_t kReadBytes = 4 * 1024; ///< Buffer of a connection.
 constexpr unsigned kHttpVersion = 11;
 /** TCP closes a connection whose sent bytes stay unacknowledged for this long,
  * in milliseconds. */
@@ -67,7 +68,7 @@
     , mPeer(std::move(aPeer))
     , mOnMalformed(std::move(aOnMalformed))
   {
-    mReader.SetLimits(kMaxHeadBytes, kMaxResponseBytes);
+    mReader.SetLimits(kMaxResponseHeadBytes, kMaxResponseBytes);
   }
 
   void Exchange(const http_request& aRequest,
--- a/src/net/http_connector_base.h
+++ b/src/net/http_connector_base.h
@@ -20,8 +20,8 @@
 class http_connector
 {
 public:
-  /** Called on an I/O thread for each response that is no HTTP/1.1, with what
-   * is wrong with it. */
+  /** Called on an I/O thread for each response that is not valid HTTP/1.1, with
+   * what is wrong with it. */
   using malformed_handler =
     std::function<void(const model::endpoint& aPeer, const char* aDefect)>;
 
