Tests: broken fields that would decide where a body ends, codings in HTTP/1.0

Cause: each of these cases had a sound length besides, so that two of them, a chunked answer of HTTP/1.0 and one with status 204, were rejected for another reason than theirs, and no case changed the framing. Change: the cases stand without another length; six more. None of the product.

--- a/test/support/answer_cases.h
+++ b/test/support/answer_cases.h
@@ -104,6 +104,16 @@
       Add("framing", text, kOk + mFields + text);
     }
   }
+  /** Answers in chunks with other status lines. */
+  void AddChunkedStatusLines(const std::vector<std::string>& aLines)
+  {
+    for (const std::string& line : aLines) {
+      Add("chunked",
+          line,
+          line + "\r\n" + mFields +
+            "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n");
+    }
+  }
   /** Bodies in chunks. */
   void AddChunks(const std::vector<std::string>& aBodies)
   {
@@ -214,6 +224,14 @@
                         " Content-Length: 3\r\n",
                         "Transfer-Encoding : chunked\r\n",
                         "Transfer Encoding: chunked\r\n" });
+  // Without another length, so that the field would decide where the body ends.
+  cases.AddFraming(
+    { "Content-Length : 3\r\n\r\nxyz",
+      "Content Length: 3\r\n\r\nxyz",
+      " Content-Length: 3\r\n\r\nxyz",
+      "Transfer-Encoding : chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+      "Transfer Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+      " Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n" });
   return cases.Take();
 }
 
@@ -266,8 +284,7 @@
     "1\r\nx\r\n0\r\n\r\n",
     "Transfer-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx",
   });
-  cases.AddStatusLines({ "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
-                         "HTTP/1.1 204 None\r\nTransfer-Encoding: chunked" });
+  cases.AddChunkedStatusLines({ "HTTP/1.0 200 OK", "HTTP/1.1 204 None" });
   return cases.Take();
 }
 
