A departure in an answer that a restart cuts off counts for the next process

Callers saw: 503 from a service whose leaf had just started again, until it started once more. Its last process had said in the head of a chunked answer that it leaves, and the answer was still open when the new registration came.

At a restart the endpoint closes its connections after it has taken the new registration, so that the departure was noted for that one.

Change: such a head is read where the leaf ends the connection or the answer takes too long, and not where the leaf's restart ends it.

Result: leaf_notices.ARestartThatCutsOffAnAnswerEndsTheDeparture failed before (503) and passes now; so do the other tests of notices and of broken answers.

--- a/src/gateway/leaf_connection.cpp
+++ b/src/gateway/leaf_connection.cpp
@@ -239,6 +239,14 @@
   }
 }
 
+void
+leaf_connection::ReadNoticesOfCutOffAnswer()
+{
+  if (mReader.State() == http_reader::state::Body) {
+    ReadNotices();
+  }
+}
+
 void
 leaf_connection::ReadKeepAliveTimeout(const http_message& aAnswer)
 {
@@ -293,6 +301,7 @@
       }
     }
   }
+  ReadNoticesOfCutOffAnswer();
   if (mAttempt) {
     mLeaf.OnConnectionLostInFlight(*mAttempt, event_loop::Now());
   }
@@ -315,9 +324,6 @@
   } else if (aEnd == attempt_end::OutcomeUnknown && mState == state::Idle) {
     end = connection_end::IdleTimeout;
   }
-  if (mReader.State() == http_reader::state::Body) {
-    ReadNotices(); // The answer is cut off, not malformed.
-  }
   mState = state::Closed;
   mStateSince = event_loop::Now();
   const leaf_attempt_ptr attempt = std::move(mAttempt);
@@ -353,8 +359,10 @@
       if (mAttempt->mAbandonedAt &&
           aNow - *mAttempt->mAbandonedAt > kAbandonGrace &&
           aNow - mStateSince > kAbandonGrace) {
+        ReadNoticesOfCutOffAnswer();
         Close(attempt_end::OutcomeUnknown, "nobody waits");
       } else if (aNow > mAttempt->mDeadline + kAbandonGrace) {
+        ReadNoticesOfCutOffAnswer();
         Close(attempt_end::OutcomeUnknown, "no answer");
       }
       return;
--- a/src/gateway/leaf_connection_base.h
+++ b/src/gateway/leaf_connection_base.h
@@ -74,6 +74,10 @@
   /** Reads what the leaf says of itself in an answer's head, which need not be
    * followed by the whole answer. */
   void ReadNotices();
+  /** As ReadNotices(), for an answer that ends before its body. Not for one
+   * that the leaf's restart ends: the registration is then of the next process.
+   */
+  void ReadNoticesOfCutOffAnswer();
 
   event_loop& mLoop;
   leaf_endpoint& mLeaf;
--- a/test/gateway/leaf_notices_test.cpp
+++ b/test/gateway/leaf_notices_test.cpp
@@ -165,6 +165,32 @@
   EXPECT_EQ(SendRequest("/one/x", "r4").mStatus, 200);
 }
 
+/** A departure named in an answer that the leaf's restart cut off counted for
+ * the process that had just started. */
+TEST_F(leaf_notices, ARestartThatCutsOffAnAnswerEndsTheDeparture)
+{
+  fake_leaf& leaf =
+    AddLeaf("plain", [](auto& aConnection, const auto& aRequest) {
+      aConnection.Write("HTTP/1.1 200 OK\r\nX-Id: " + *aRequest.Find("X-Id") +
+                        "\r\nX-Sig: s\r\nX-Leaving: 1\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n");
+    });
+  AddSingleServiceRoute(serving::repeatability::RunOnce);
+  Start();
+  http_channel caller(mLoop, mSettings.mCallerAddress);
+  caller.Call(
+    "GET /one/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\nX-Left: 900\r\n\r\n",
+    seconds(2),
+    [](const std::optional<http_message>& /*aAnswer*/) {});
+  RunFor(milliseconds(30));
+  ASSERT_EQ(leaf.mRequests, 1);
+  leaf.mOnRequest = Answering(200, "");
+  const auto startedNow = std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+  ChangeRegistration(5, static_cast<std::uint64_t>(startedNow.count()));
+  EXPECT_EQ(SendRequest("/one/x", "r2").mStatus, 200);
+}
+
 /** A peer that has got no answer of the leaf learns that it is leaving. */
 TEST_F(leaf_notices, PeersLearnOfADeparture)
 {
