Requests that wait in a stopping instance are cut without an answer

Cause: AdvanceStop() ended the loop 0.3 s before the bound with whatever was still open. An instance takes requests for 2.6 s after SIGTERM, so that requests with a timeout of 5 s may wait past its exit.

Change: the stop has two more steps. 1 s before the bound, requests that have not been sent to a leaf are refused with 503, so that their callers have time for another instance; 0.5 s before it, all others are answered by what is known of them: 502 or 504 if they may have run. The owner of a request decides; one without an owner waits for its quota or its key, has not been passed on, and is not afterwards.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -28,6 +28,7 @@
 {
   if (mConnection != nullptr) {
     mOnCallerLeft = nullptr;
+    mOnStop = nullptr;
     mOnSupplement = nullptr;
     mConnection->Respond(aResponse);
   }
@@ -54,6 +55,13 @@
 exchange::Detach()
 {
   mConnection = nullptr;
+  mOnStop = nullptr;
+  EndWait();
+}
+
+void
+exchange::EndWait()
+{
   if (mOnCallerLeft) {
     const auto handler = std::move(mOnCallerLeft);
     mOnCallerLeft = nullptr;
@@ -247,6 +255,23 @@
   }
 }
 
+void
+caller_connection::AnswerAtStop(stop_answers aWhich)
+{
+  // The handlers may answer, which resets mExchange.
+  const exchange_ptr current = mExchange;
+  if (!current) {
+    return;
+  }
+  if (const auto handler = current->mOnStop) {
+    handler(aWhich);
+    return;
+  }
+  // Ends the wait first, so that the request is not passed on after its answer.
+  current->EndWait();
+  mServer.Handler().RefuseAtStop(current);
+}
+
 void
 caller_connection::CloseGracefully()
 {
--- a/src/gateway/caller_connection_base.h
+++ b/src/gateway/caller_connection_base.h
@@ -33,6 +33,8 @@
   void Respond(const http_response& aResponse);
   /** Sends an interim answer. */
   void SendProcessing(const std::vector<http_field>& aFields);
+  /** Answers the current request, if the instance's stop requires it. */
+  void AnswerAtStop(stop_answers aWhich);
   void OnTick(model::instant aNow);
   bool Idle() const; ///< No request is being received or answered.
   /** Shuts down the write side, then waits for the caller to close. */
--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -429,12 +429,15 @@
     case stop_sequence::step::Serve:
       return;
     case stop_sequence::step::CloseIdle:
-      for (uv_http_server* server : { &mCallerServer, mRelayServer.get() }) {
-        if (server != nullptr) {
-          server->StopAccepting();
-          server->CloseIdle();
-        }
-      }
+      CloseIdleConnections();
+      return;
+    case stop_sequence::step::RefuseUnsent:
+      CloseIdleConnections();
+      AnswerAtStop(stop_answers::Unsent);
+      return;
+    case stop_sequence::step::AnswerAll:
+      CloseIdleConnections();
+      AnswerAtStop(stop_answers::All);
       return;
     case stop_sequence::step::Exit:
       mLog.Write(
@@ -450,6 +453,26 @@
   }
 }
 
+void
+entry_instance::CloseIdleConnections()
+{
+  for (uv_http_server* server : { &mCallerServer, mRelayServer.get() }) {
+    if (server != nullptr) {
+      server->StopAccepting();
+      server->CloseIdle();
+    }
+  }
+}
+
+void
+entry_instance::AnswerAtStop(stop_answers aWhich)
+{
+  mCallerServer.AnswerAtStop(aWhich);
+  if (mRelayServer) {
+    mRelayServer->AnswerAtStop(aWhich);
+  }
+}
+
 void
 entry_instance::Apply(const instance_settings& aSettings)
 {
--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -104,6 +104,8 @@
                        bool aUnreachable,
                        const std::string& aReason) const;
   void AdvanceStop(model::instant aNow);
+  void CloseIdleConnections();
+  void AnswerAtStop(stop_answers aWhich);
   control_plane::hooks MakeHooks();
   void AddWorkspaceHooks(control_plane::hooks& aHooks);
   /** Tells the dispatcher if this process has not run for a while. */
--- a/src/gateway/exchange_base.h
+++ b/src/gateway/exchange_base.h
@@ -9,6 +9,7 @@
 #include "gateway/http_response_type.h"
 #include "model/time_type.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -17,6 +18,15 @@
 
 class caller_connection;
 
+/** Which requests a stopping instance answers now. */
+enum class stop_answers : std::uint8_t
+{
+  Unsent, ///< Those that have not been sent to a leaf or another instance.
+  All,    ///< None of them is waited for any longer.
+};
+
+constexpr const char* kReasonStopping = "the instance stops";
+
 /** Shared by the caller's connection and the code that produces the answer. */
 class exchange
 {
@@ -51,6 +61,12 @@
     mOnCallerLeft = std::move(aHandler);
   }
 
+  /** Sets a handler that answers the request if the instance stops before its
+   * work is done. A request without one has not been passed on. */
+  void OnStop(std::function<void(stop_answers)> aHandler)
+  {
+    mOnStop = std::move(aHandler);
+  }
   /** Sets a handler of the messages that supplement this request. */
   void OnSupplement(std::function<void(const http_message&)> aHandler)
   {
@@ -62,13 +78,15 @@
 private:
   friend class caller_connection;
 
-  void Detach(); ///< The connection has closed.
+  void Detach();  ///< The connection has closed.
+  void EndWait(); ///< Calls the handler of a caller that has left.
 
   caller_connection* mConnection;
   http_message mRequest;
   model::instant mReceivedAt;
   model::duration mCallerNetworkTime;
   std::function<void()> mOnCallerLeft;
+  std::function<void(stop_answers)> mOnStop;
   std::function<void(const http_message&)> mOnSupplement;
 };
 
@@ -94,6 +112,8 @@
   {
     return false;
   }
+  /** Refuses a request that has not been passed on: the instance stops. */
+  virtual void RefuseAtStop(const exchange_ptr& /*aExchange*/) {}
 };
 
 } // namespace monsooncroft::gateway
--- a/src/gateway/query_execution.cpp
+++ b/src/gateway/query_execution.cpp
@@ -90,6 +90,11 @@
       run->Finish(nullptr, "caller_left", event_loop::Now());
     }
   });
+  mExchange->OnStop([weak = weak_from_this()](stop_answers aWhich) {
+    if (const auto run = weak.lock()) {
+      run->OnStop(aWhich, event_loop::Now());
+    }
+  });
   if (mReservedAttempts > 0) {
     mExchange->OnSupplement(
       [weak = weak_from_this()](const http_message& aMessage) {
--- a/src/gateway/query_execution_answer.cpp
+++ b/src/gateway/query_execution_answer.cpp
@@ -93,19 +93,40 @@
          aNow);
 }
 
+bool
+query_execution::MayHaveBeenSent() const
+{
+  const auto wasSent = [](const leaf_attempt_ptr& aAttempt) {
+    return aAttempt->mSentAt.has_value();
+  };
+  return mMayHaveRun ||
+         std::any_of(mShards.begin(), mShards.end(), [&](const auto& aShard) {
+           return aShard.mAnswered || std::any_of(aShard.mOutstanding.begin(),
+                                                  aShard.mOutstanding.end(),
+                                                  wasSent);
+         });
+}
+
 void
-query_execution::GiveUp(model::instant aNow)
+query_execution::OnStop(stop_answers aWhich, model::instant aNow)
 {
-  bool sent = mMayHaveRun;
-  for (const shard_state& shard : mShards) {
-    sent = sent || shard.mAnswered;
-    for (const leaf_attempt_ptr& attempt : shard.mOutstanding) {
-      sent = sent || attempt->mSentAt.has_value();
-    }
+  if (mDone || (aWhich == stop_answers::Unsent && MayHaveBeenSent())) {
+    return;
+  }
+  if (mAnsweredShards >= mRequirements.mRequiredShards) {
+    Answer(aNow);
+    return;
   }
+  mLastReason = kReasonStopping;
+  GiveUp(aNow);
+}
+
+void
+query_execution::GiveUp(model::instant aNow)
+{
   http_response response;
   const char* outcome = "failed";
-  if (!sent) {
+  if (!MayHaveBeenSent()) {
     outcome = "not_run";
     response.mStatus = 503;
     std::vector<model::duration> delays;
--- a/src/gateway/query_execution_base.h
+++ b/src/gateway/query_execution_base.h
@@ -112,6 +112,9 @@
   void ScheduleWake(model::instant aNow);
   void Answer(model::instant aNow);
   void GiveUp(model::instant aNow);
+  /** Whether the request may run or have run on a leaf. */
+  bool MayHaveBeenSent() const;
+  void OnStop(stop_answers aWhich, model::instant aNow);
   void Finish(const http_response* aResponse,
               const char* aOutcome,
               model::instant aNow);
--- a/src/gateway/relay_client.cpp
+++ b/src/gateway/relay_client.cpp
@@ -72,6 +72,15 @@
         self->OnCallerLeft();
       }
     });
+    mQuery.mExchange->OnStop([weak = weak_from_this()](stop_answers aWhich) {
+      const auto self = weak.lock();
+      // A root may be executing the query, so that it is not refused.
+      if (self && aWhich == stop_answers::All) {
+        self->mReason = kReasonStopping;
+        self->mHandOver.OnDeadline();
+        self->UpdateTimer(event_loop::Now());
+      }
+    });
     mHandOver.Start(aNow);
   }
 
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -144,6 +144,12 @@
   Dispatch(aExchange, {});
 }
 
+void
+request_dispatcher::RefuseAtStop(const exchange_ptr& aExchange)
+{
+  Refuse(aExchange, { 503, kReasonStopping });
+}
+
 void
 request_dispatcher::Dispatch(const exchange_ptr& aExchange,
                              const progress& aProgress)
--- a/src/gateway/request_dispatcher_base.h
+++ b/src/gateway/request_dispatcher_base.h
@@ -62,6 +62,7 @@
   /** Sets whether fan-outs are handed to roots. */
   void SetUsesRelay(bool aUses) { mUsesRelay = aUses; }
   void OnRequest(const exchange_ptr& aExchange) override;
+  void RefuseAtStop(const exchange_ptr& aExchange) override;
   /** A query that another instance has handed to this one. */
   void OnRelayedRequest(const exchange_ptr& aExchange);
   /** Tells another instance that its query is not executed. */
--- a/src/gateway/stop_sequence_base.h
+++ b/src/gateway/stop_sequence_base.h
@@ -13,8 +13,9 @@
 
 /**
  * Continues serving until the balancer has removed the instance, then closes
- * idle connections, then waits for busy ones. Loses no answers when instances
- * under load are stopped one after another.
+ * idle connections, then waits for busy ones, and answers what is left before
+ * it exits. Loses no answers when instances under load are stopped one after
+ * another.
  */
 class stop_sequence
 {
@@ -24,6 +25,10 @@
   {
     Serve,     ///< Each connection closes after its next answer.
     CloseIdle, ///< No connections are accepted; idle ones are closed.
+    /** Requests that have not been sent to a leaf are refused, so that their
+     * callers have time left for another instance. */
+    RefuseUnsent,
+    AnswerAll, ///< All requests are answered; nothing is waited for.
     Exit,
   };
 
@@ -42,10 +47,16 @@
     if (elapsed >= mBound - kExitMargin) {
       return step::Exit;
     }
-    if (elapsed < kBalancerLag) {
-      return step::Serve;
+    if (elapsed >= kBalancerLag && aConnections == 0) {
+      return step::Exit;
+    }
+    if (elapsed >= mBound - kAnswerMargin) {
+      return step::AnswerAll;
+    }
+    if (elapsed >= mBound - kRefusalMargin) {
+      return step::RefuseUnsent;
     }
-    return aConnections == 0 ? step::Exit : step::CloseIdle;
+    return elapsed < kBalancerLag ? step::Serve : step::CloseIdle;
   }
 
   model::instant StartedAt() const { return mStartedAt; }
@@ -55,7 +66,9 @@
    * the second failure; the rest is for connections that were being
    * established. */
   static constexpr std::chrono::milliseconds kBalancerLag{ 2'600 };
-  /** Time left before the forced end. */
+  // Times left before the forced end.
+  static constexpr std::chrono::milliseconds kRefusalMargin{ 1'000 };
+  static constexpr std::chrono::milliseconds kAnswerMargin{ 500 };
   static constexpr std::chrono::milliseconds kExitMargin{ 300 };
 
   model::instant mStartedAt;
--- a/src/gateway/uv_http_server.cpp
+++ b/src/gateway/uv_http_server.cpp
@@ -11,7 +11,6 @@
 #include "model/endpoint_type.h"
 
 #include <algorithm>
-#include <vector>
 
 namespace monsooncroft::gateway {
 
@@ -88,15 +87,29 @@
     });
 }
 
-void
-uv_http_server::OnTick(model::instant aNow)
+std::vector<caller_connection*>
+uv_http_server::AllConnections() const
 {
   std::vector<caller_connection*> all;
   all.reserve(mConnections.size());
   for (const auto& [key, connection] : mConnections) {
     all.push_back(key);
   }
-  for (caller_connection* connection : all) {
+  return all;
+}
+
+void
+uv_http_server::AnswerAtStop(stop_answers aWhich)
+{
+  for (caller_connection* connection : AllConnections()) {
+    connection->AnswerAtStop(aWhich);
+  }
+}
+
+void
+uv_http_server::OnTick(model::instant aNow)
+{
+  for (caller_connection* connection : AllConnections()) {
     connection->OnTick(aNow);
   }
 }
--- a/src/gateway/uv_http_server_base.h
+++ b/src/gateway/uv_http_server_base.h
@@ -9,10 +9,12 @@
 #include "serving/route_type.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace monsooncroft::model {
 struct endpoint;
@@ -27,6 +29,7 @@
 class caller_connection;
 class event_loop;
 class request_handler;
+enum class stop_answers : std::uint8_t;
 class tcp_listener;
 class tcp_stream;
 
@@ -54,6 +57,8 @@
   bool CloseAfterAnswer() const { return mCloseAfterAnswer; }
   void StopAccepting();
   void CloseIdle(); ///< Closes connections without a request in progress.
+  /** Answers requests that the stopping instance does not finish. */
+  void AnswerAtStop(stop_answers aWhich);
   /** Applies the timeouts of slow and idle callers. */
   void OnTick(model::instant aNow);
 
@@ -69,6 +74,8 @@
 
 private:
   void Accept(std::unique_ptr<tcp_stream> aStream);
+  /** A copy, since handlers may add and remove connections. */
+  std::vector<caller_connection*> AllConnections() const;
 
   event_loop& mLoop;
   request_handler& mHandler;
--- a/test/gateway/http_reader_test.cpp
+++ b/test/gateway/http_reader_test.cpp
@@ -165,6 +165,11 @@
   EXPECT_EQ(stop.CurrentStep(0, at(2'000)), step::Serve);
   EXPECT_EQ(stop.CurrentStep(3, at(3'000)), step::CloseIdle);
   EXPECT_EQ(stop.CurrentStep(0, at(3'000)), step::Exit);
+  // Callers need time for another instance, and answers to be delivered.
+  EXPECT_EQ(stop.CurrentStep(3, at(4'999)), step::CloseIdle);
+  EXPECT_EQ(stop.CurrentStep(3, at(5'000)), step::RefuseUnsent);
+  EXPECT_EQ(stop.CurrentStep(3, at(5'500)), step::AnswerAll);
+  EXPECT_EQ(stop.CurrentStep(0, at(5'500)), step::Exit);
   EXPECT_EQ(stop.CurrentStep(3, at(5'999)), step::Exit);
 }
 
--- a/test/gateway/relay_test.cpp
+++ b/test/gateway/relay_test.cpp
@@ -796,5 +796,23 @@
   EXPECT_EQ(*Hand(within + "Relay-Config: 2\r\n").Find("X-Sigs"), "sig1");
 }
 
+/** Guards against callers whose connection ends without an answer: the instance
+ * exits while a root executes their query (LOST). It may have run. */
+TEST_F(relay_test, AQueryAtARootIsAnsweredBeforeTheInstanceExits)
+{
+  fake_leaf& root = AddRoot(Answering(kConfirmation));
+  loop_timer unsent(mLoop, [&] { mServer.AnswerAtStop(stop_answers::Unsent); });
+  loop_timer all(mLoop, [&] { mServer.AnswerAtStop(stop_answers::All); });
+  unsent.Start(milliseconds(50));
+  all.Start(milliseconds(100));
+  const model::instant start = event_loop::Now();
+  EXPECT_EQ(SendRequest("/all/x", "r").mStatus, 502);
+  EXPECT_GT(event_loop::Now() - start, milliseconds(90));
+  EXPECT_FALSE(mFallback);
+  RunFor(milliseconds(10));
+  ASSERT_FALSE(root.mConnections.empty());
+  EXPECT_TRUE(root.mConnections.front()->Ended()); // Cancels the query.
+}
+
 } // namespace
 } // namespace monsooncroft::gateway
