Most crash marks never reach peers that missed the first message

Each gossip message holds three crash marks, and these were always the first three of the table. An instance that missed the datagram of any other mark, or of its clearing, never learned of it.

Change: gossip sends all marks in turn.

Result: control_plane_test.AllCrashMarksReachPeersInTurn failed with the old choice (not all of 8 marks within 4 s) and passes now.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -100,9 +100,7 @@
   serving::fleet_message message = mFleet.BuildMessage(event_loop::Now());
   message.mWantsReply = aWantsReply;
   message.mSuspicions = mHooks.mSuspectedLeaves();
-  message.mCrashMarks = mHooks.mCrashMarks();
-  message.mCrashMarks.resize(
-    std::min(message.mCrashMarks.size(), kMaxCrashMarksPerMessage));
+  message.mCrashMarks = NextCrashMarks();
   return message;
 }
 
@@ -132,6 +130,23 @@
   }
 }
 
+std::vector<once::crash_mark>
+control_plane::NextCrashMarks()
+{
+  std::vector<once::crash_mark> marks = mHooks.mCrashMarks();
+  if (marks.size() <= kMaxCrashMarksPerMessage) {
+    return marks;
+  }
+  // All marks in turn, so that peers that missed one learn of it.
+  mNextCrashMark %= marks.size();
+  std::rotate(marks.begin(),
+              marks.begin() + static_cast<std::ptrdiff_t>(mNextCrashMark),
+              marks.end());
+  marks.resize(kMaxCrashMarksPerMessage);
+  mNextCrashMark += kMaxCrashMarksPerMessage;
+  return marks;
+}
+
 void
 control_plane::SendCrashMark(const once::crash_mark& aMark, model::instant aNow)
 {
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -193,6 +193,8 @@
   /** Doubles the delay before the next call, up to a maximum. */
   void ScheduleRetry(call_state& aState, model::instant aNow) const;
   serving::fleet_message MakeMessage(bool aWantsReply);
+  /** Marks for the next gossip message. */
+  std::vector<once::crash_mark> NextCrashMarks();
   /** Encodes what the requesting peer lacks; nothing if the request is not
    * complete yet. */
   std::optional<std::string> MakeSnapshot(std::string_view aRequest) const;
@@ -223,6 +225,7 @@
   model::instant mFreshReadsUntil; ///< Reads must not be stale until then.
   model::instant mStartedAt;
   std::optional<model::instant> mFirstContactAt; ///< Message of any peer.
+  std::size_t mNextCrashMark = 0; ///< Index of the next mark to gossip.
   mutable std::array<known_keepers, serving::kQuotaGroups> mQuotaKeepers;
   peer_socket mPeerSocket;
 };
--- a/test/gateway/control_plane_test.cpp
+++ b/test/gateway/control_plane_test.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <fcntl.h>
 #include <map>
+#include <set>
 
 namespace monsooncroft::gateway {
 namespace {
@@ -69,7 +70,12 @@
     hooks.mSuspectedLeaves = [] {
       return std::vector<serving::leaf_suspicion>{};
     };
-    hooks.mCrashMarks = [] { return std::vector<once::crash_mark>{}; };
+    hooks.mCrashMarks = [this, aIndex] {
+      return aIndex == 0 ? mCrashMarks : std::vector<once::crash_mark>{};
+    };
+    hooks.mOnCrashMark = [this](const once::crash_mark& aMark) {
+      mReceivedMarks.insert(once::CrashMarkName(aMark));
+    };
     hooks.mLeafLimits = [] {
       return std::vector<serving::leaf_limit_report>{};
     };
@@ -160,12 +166,30 @@
   std::shared_ptr<ops::bounded_sink> mSink;
   ops::log mLog;
   ops::metrics mMetrics;
+  std::vector<once::crash_mark> mCrashMarks; ///< Of the first instance.
+  std::set<std::string> mReceivedMarks;      ///< Names, of all instances.
   std::vector<fake_store> mStores; ///< By instance, all of the same content.
   /** Known registrations by instance and id. */
   std::vector<std::map<std::string, serving::leaf_registration>> mLeaves;
   std::vector<std::unique_ptr<control_plane>> mPlanes;
 };
 
+/** Guards against crash marks, and clearings of them, that instances which
+ * missed the first message never learn of: a gossip message holds three, and
+ * these were always the same. */
+TEST_F(control_plane_test, AllCrashMarksReachPeersInTurn)
+{
+  for (std::uint64_t number = 0; number < 8; ++number) {
+    once::crash_mark mark;
+    mark.mSuspicion.mCrash = { number, 1 };
+    mark.mExpires = model::wall_instant(std::chrono::hours(1'000'000));
+    mCrashMarks.push_back(mark);
+  }
+  RunUntil([&] { return mReceivedMarks.size() == mCrashMarks.size(); },
+           seconds(4));
+  EXPECT_EQ(mReceivedMarks.size(), mCrashMarks.size());
+}
+
 /** A change of very many registrations fits no datagram; if nobody pulled it,
  * requests would reach leaves that have drained. */
 TEST_F(control_plane_test, AChangeTooLargeForADatagramReachesAllInstances)
