A configuration waits for watches that get no response

Cause: a watch whose response is lost ends after 27 s. The fallback, a read of the configuration with each periodic read of the registrations, is left out while a watch brings changes of registrations, as during a release. What it read could also be seconds old.

Change: the reader of the registrations reads the configuration afresh each 2 s, in place of the cheap reads. A watch that has not brought a version within a second after it came in another way is ended and begins again.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -55,6 +55,8 @@
       return "history lost";
     case store_error::Malformed:
       return "malformed";
+    case store_error::Cancelled:
+      return "cancelled";
   }
   return "unknown";
 }
@@ -313,6 +315,10 @@
 {
   const model::instant now = event_loop::Now();
   aState.mBusy = false;
+  if (aError == store_error::Cancelled) {
+    aState.mNextCall = now;
+    return;
+  }
   const bool answered = !aError || *aError == store_error::Absent ||
                         *aError == store_error::HistoryLost;
   if (answered) {
@@ -379,12 +385,12 @@
   if (!mDirectoryCall.mBusy && aNow >= mDirectoryCall.mNextCall &&
       DirectoryDue(aNow)) {
     ReadDirectoryNow(aNow);
-    // The watches of the configuration may have fallen silent unnoticed.
-    if (mConfig && !mConfigCall.mBusy && aNow >= mConfigCall.mNextCall) {
-      ReadConfig(aNow >= mFreshReadsUntil);
-    }
+    ConfirmConfig(aNow);
+  }
+  if (mFleet.DutyRank("directory", false, aNow) == 0) {
+    ConfirmConfig(aNow);
+    WatchDirectory(aNow);
   }
-  WatchDirectory(aNow);
   mDirectory.RemoveMissing(aNow);
   ApplyLeaves();
 }
@@ -473,8 +479,7 @@
 control_plane::WatchDirectory(model::instant aNow)
 {
   if (mDirectoryWatchCall.mBusy || aNow < mDirectoryWatchCall.mNextCall ||
-      !mDirectory.LastCompleteTime() ||
-      mFleet.DutyRank("directory", false, aNow) > 0) {
+      !mDirectory.LastCompleteTime()) {
     return;
   }
   mDirectoryWatchCall.mBusy = true;
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -168,6 +168,15 @@
    * missed. */
   void PullDirectory(model::instant aNow);
   void UpdateConfig(model::instant aNow);
+  /** Whether the last fresh read of the configuration was too long ago. */
+  bool ConfirmationDue(model::instant aNow) const;
+  /** Reads the configuration if a fresh read is due: watches may get no
+   * response any more. Not only with the periodic reads of the registrations,
+   * which are left out while a watch brings changes. */
+  void ConfirmConfig(model::instant aNow);
+  /** Ends the watch of the configuration if it has not brought a version that
+   * came in another way: it gets no response any more. */
+  void EndSilentConfigWatch(model::instant aNow);
   void ReadConfig(bool aMayBeStale);
   void WatchConfig();
   void PullSnapshot(const serving::fleet_member& aFrom);
@@ -215,6 +224,10 @@
   call_state mConfigWatchCall;
   call_state mPullCall;
   model::store_revision mConfigWatchRevision;
+  /** Start of the last fresh read of the configuration that was answered. */
+  std::optional<model::instant> mConfirmedAt;
+  /** When a version came in another way than by the pending watch. */
+  std::optional<model::instant> mConfigWatchBehindSince;
   /** Latest era of the store that this instance or a peer has seen. */
   std::optional<std::uint64_t> mStoreEra;
   /** Last response of the store to this instance or, as reported, to a peer. */
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -17,6 +17,9 @@
 
 /** Malformed entries of a version that are logged. */
 constexpr std::size_t kMaxLoggedProblems = 16;
+/** Time in which a watch brings a version that is already in force; a large one
+ * takes a while. */
+constexpr std::chrono::milliseconds kWatchGrace{ 1'000 };
 /** Source of a configuration that another instance sent. */
 constexpr std::string_view kFromPeer = "peer";
 
@@ -36,6 +39,7 @@
     }
     return;
   }
+  EndSilentConfigWatch(aNow);
   if (!mConfigWatchCall.mBusy && aNow >= mConfigWatchCall.mNextCall &&
       mFleet.DutyRank("config", true, aNow) == 0) {
     if (mConfigWatchRevision.Era() >= mStoreEra.value_or(0)) {
@@ -46,6 +50,38 @@
   }
 }
 
+bool
+control_plane::ConfirmationDue(model::instant aNow) const
+{
+  return !mConfirmedAt || aNow - *mConfirmedAt >= mSettings.mConfirmationPeriod;
+}
+
+void
+control_plane::ConfirmConfig(model::instant aNow)
+{
+  if (mConfig && ConfirmationDue(aNow)) {
+    ReadNewestConfig(aNow);
+  }
+}
+
+void
+control_plane::EndSilentConfigWatch(model::instant aNow)
+{
+  if (!mConfigWatchBehindSince ||
+      aNow - *mConfigWatchBehindSince < kWatchGrace) {
+    return;
+  }
+  mConfigWatchBehindSince.reset();
+  if (mConfigWatchCall.mBusy) {
+    mMetrics.Count("store_watches_silent", { { "call", "watch" } });
+    mLog.Write(ops::log_level::Warning,
+               "store_watch_silent",
+               { { "call", std::string("watch") },
+                 { "version", static_cast<long>(mConfig->Version()) } });
+    mStore.EndConfigWatch();
+  }
+}
+
 void
 control_plane::ReadConfig(bool aMayBeStale)
 {
@@ -61,6 +97,9 @@
                  error == nullptr ? std::nullopt : std::optional(*error));
       if (error == nullptr) {
         const auto& text = std::get<config_text>(aResult);
+        if (!aMayBeStale) {
+          mConfirmedAt = startedAt;
+        }
         UpdateStoreEra(text.mRevision, "config");
         const bool isFirst = mConfig == nullptr;
         const bool adopted = AdoptConfig(text, "store");
@@ -98,6 +137,7 @@
       OnCallDone(mConfigWatchCall,
                  "watch",
                  error == nullptr ? std::nullopt : std::optional(*error));
+      mConfigWatchBehindSince.reset();
       if (error != nullptr) {
         // The current value includes all changes that the watch has missed.
         if (!mConfigCall.mBusy && *error == store_error::HistoryLost) {
@@ -193,6 +233,9 @@
     mConfigText.mText = mStore.HideKeys(aText.mText);
   }
   mConfigWatchRevision = std::max(mConfigWatchRevision, aText.mRevision);
+  if (mConfigWatchCall.mBusy && !mConfigWatchBehindSince) {
+    mConfigWatchBehindSince = event_loop::Now();
+  }
   mFleet.SetConfigVersion(mConfig->Version());
   mLog.Write(
     ops::log_level::Info,
--- a/src/gateway/control_settings_type.h
+++ b/src/gateway/control_settings_type.h
@@ -16,6 +16,10 @@
    * watches them; a read shows that the store still responds. Well below the
    * time in which a draining leaf must get no more work. */
   std::chrono::milliseconds mDirectoryPeriod{ 900 };
+  /** Period of fresh reads of the configuration by the instance of rank 0. They
+   * show what is hidden by a watch that gets no response, or by reads that are
+   * old; below the times in which a change must take effect. */
+  std::chrono::milliseconds mConfirmationPeriod{ 2'000 };
   /** Between a change and the next watch. */
   std::chrono::milliseconds mDirectoryWatchPause{ 400 };
   /** Added to the period per rank, so that the next instance takes over. */
--- a/src/gateway/control_store_base.h
+++ b/src/gateway/control_store_base.h
@@ -27,6 +27,7 @@
    * been restored from an older copy since. */
   HistoryLost,
   Malformed, ///< The response cannot be decoded.
+  Cancelled, ///< This instance has ended the call.
 };
 
 const char*
@@ -75,6 +76,8 @@
   virtual void WatchConfig(model::store_revision aAfter,
                            std::chrono::milliseconds aWait,
                            callback<config_change> aDone) = 0;
+  /** Ends the pending watch, which completes with Cancelled. */
+  virtual void EndConfigWatch() = 0;
   /** Ends pending watches that continue from a revision of an earlier era: they
    * complete with HistoryLost, since the store may never answer them. */
   virtual void EndWatchesBefore(std::uint64_t aEra) = 0;
--- a/test/gateway/control_plane_test.cpp
+++ b/test/gateway/control_plane_test.cpp
@@ -143,6 +143,37 @@
                  });
       });
   }
+  /** Answers the watches of the registrations that are pending with a change of
+   * a leaf that nobody uses. */
+  void ChangeThroughWatches()
+  {
+    for (fake_store& store : mStores) {
+      ++store.mRevision;
+      store.mLeaves.back().mColdRemainingMs = static_cast<int>(store.mRevision);
+      store.mLeaves.back().mRevision = store.mRevision;
+      if (const auto watch = std::exchange(store.mDirectoryWatch, nullptr)) {
+        serving::directory_delta delta;
+        delta.mBaseRevision = store.mRevision - 1;
+        delta.mRevision = store.mRevision;
+        delta.mChangedLeaves = { store.mLeaves.back() };
+        watch(delta);
+      }
+    }
+  }
+  bool AllHaveConfig(std::uint64_t aVersion) const
+  {
+    return std::all_of(mPlanes.begin(), mPlanes.end(), [&](const auto& aPlane) {
+      return aPlane->Config() && aPlane->Config()->Version() == aVersion;
+    });
+  }
+  int FreshReads() const
+  {
+    int reads = 0;
+    for (const fake_store& store : mStores) {
+      reads += store.mFreshReads;
+    }
+    return reads;
+  }
   /** Reads of the registrations by all instances. */
   int DirectoryReads() const
   {
@@ -251,5 +282,56 @@
   EXPECT_LE(DirectoryReads() - readsBefore, static_cast<int>(kInstances) / 2);
 }
 
+/** Guards against a configuration that comes into force 20 s late (CONFIG): its
+ * watches got no response, and the fallback, a read with each periodic read of
+ * the registrations, did not take place while these changed all the time. */
+TEST_F(control_plane_test, AConfigurationIsNoticedWhileRegistrationsChange)
+{
+  constexpr milliseconds kChangePeriod{ 400 };
+  Register(2);
+  RunUntil([&] { return AllKnow(2, false) && AllHaveConfig(1); }, seconds(10));
+  ASSERT_TRUE(AllHaveConfig(1));
+  model::instant nextChange = event_loop::Now();
+  const auto change = [&] {
+    if (event_loop::Now() >= nextChange) {
+      nextChange += kChangePeriod;
+      ChangeThroughWatches();
+    }
+    return false;
+  };
+  RunUntil(change, seconds(4));
+  for (fake_store& store : mStores) {
+    store.mConfigRevision = ++store.mRevision;
+    store.mContent.mVersion = 2;
+  }
+  const model::instant changedAt = event_loop::Now();
+  RunUntil([&] { return change() || AllHaveConfig(2); }, seconds(3));
+  EXPECT_TRUE(AllHaveConfig(2));
+  EXPECT_LT(event_loop::Now() - changedAt, seconds(3));
+  // The watches that have not brought it end, and one a data centre begins.
+  RunUntil(change, seconds(3));
+  int ended = 0;
+  int pending = 0;
+  for (const fake_store& store : mStores) {
+    ended += store.mConfigWatchesEnded;
+    pending += store.mConfigWatch ? 1 : 0;
+  }
+  EXPECT_GE(ended, 3);
+  EXPECT_EQ(pending, 3);
+}
+
+/** Fresh reads are ten times as expensive as others: one instance makes them
+ * for all. */
+TEST_F(control_plane_test, FewReadsAreFresh)
+{
+  Register(2);
+  RunUntil([&] { return AllKnow(2, false); }, seconds(10));
+  ASSERT_TRUE(AllKnow(2, false));
+  RunUntil([] { return false; }, seconds(2));
+  const int readsBefore = FreshReads();
+  RunUntil([] { return false; }, seconds(6));
+  EXPECT_LE(FreshReads() - readsBefore, 4);
+}
+
 } // namespace
 } // namespace monsooncroft::gateway
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -7,6 +7,7 @@
 
 #include "gateway/control_store_base.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,12 +18,15 @@
 class fake_store : public control_store
 {
 public:
-  void ReadDirectory(bool /*aMayBeStale*/,
+  void ReadDirectory(bool aMayBeStale,
                      callback<serving::directory_snapshot> aDone) override
   {
     ++mDirectoryReads;
+    mFreshReads += aMayBeStale ? 0 : 1;
     if (mDown) {
       aDone(store_error::Unreachable);
+    } else if (aMayBeStale && mOldDirectory) {
+      aDone(*mOldDirectory);
     } else {
       aDone(serving::directory_snapshot{ mRevision, mLeaves });
     }
@@ -33,9 +37,10 @@
   {
     mDirectoryWatch = std::move(aDone);
   }
-  void ReadConfig(bool /*aMayBeStale*/, callback<config_text> aDone) override
+  void ReadConfig(bool aMayBeStale, callback<config_text> aDone) override
   {
     ++mConfigReads;
+    mFreshReads += aMayBeStale ? 0 : 1;
     if (mHoldsConfigReads) {
       mHeldConfigReads.push_back(std::move(aDone));
     } else if (mDown || mContent.mVersion == 0) {
@@ -50,6 +55,11 @@
   {
     mConfigWatch = std::move(aDone);
   }
+  void EndConfigWatch() override
+  {
+    ++mConfigWatchesEnded;
+    std::exchange(mConfigWatch, nullptr)(store_error::Cancelled);
+  }
   void EndWatchesBefore(std::uint64_t aEra) override
   {
     mWatchesEndedBefore = aEra;
@@ -100,6 +110,10 @@
   bool mDown = false;
   int mDirectoryReads = 0;
   int mConfigReads = 0;
+  int mConfigWatchesEnded = 0;
+  int mFreshReads = 0; ///< Of both kinds.
+  /** Answers reads that may be stale; nothing: they are fresh. */
+  std::optional<serving::directory_snapshot> mOldDirectory;
   std::uint64_t mWatchesEndedBefore = 0;
   std::uint64_t mRevision = 1;
   std::uint64_t mConfigRevision = 1; ///< Of what ReadConfig() returns.
