Leaves that drain get requests behind a silent watch and old reads

The connection of the watch of the registrations was silent, and reads that may be stale were 4 s old.

Cause: a cheap read that is not older than what is known counted as proof that the registrations are complete, however old it was, and the watch ends only after 27 s.

Change: a fresh read of the configuration, which the reader makes each 2 s, tells the store's revision, which moves with each change of any key. If it is above the one up to which the registrations are known, and neither the watch nor a read brings it within 0.3 s, they are read afresh. A watch that has not brought a change within a second after it came by a read is ended.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -34,6 +34,12 @@
 /** Added to the period of reads per rank, for a datagram from the first reader
  * to arrive in between. */
 constexpr std::chrono::milliseconds kRankSpread{ 10 };
+/** Time in which a watch brings a change that came in another way; a large
+ * configuration takes a while. */
+constexpr std::chrono::milliseconds kWatchGrace{ 1'000 };
+/** Time in which a watch or a periodic read confirms the registrations, before
+ * a read is made for it. */
+constexpr std::chrono::milliseconds kConfirmationGrace{ 300 };
 constexpr std::size_t kMaxSpreadRanks = 100; ///< Higher ranks begin at 0 again.
 /** Time for which an instance tries to pull changes from peers that have them
  * before it reads the store: after an outage, all instances would read it. */
@@ -384,9 +390,13 @@
   PullDirectory(aNow);
   if (!mDirectoryCall.mBusy && aNow >= mDirectoryCall.mNextCall &&
       DirectoryDue(aNow)) {
-    ReadDirectoryNow(aNow);
+    ReadDirectoryNow(aNow >= mFreshReadsUntil);
     ConfirmConfig(aNow);
   }
+  ConfirmDirectory(aNow);
+  if (IsSilent(mDirectoryWatchCall, "directory_watch", aNow)) {
+    mStore.EndDirectoryWatch();
+  }
   if (mFleet.DutyRank("directory", false, aNow) == 0) {
     ConfirmConfig(aNow);
     WatchDirectory(aNow);
@@ -411,17 +421,45 @@
 }
 
 void
-control_plane::ReadDirectoryNow(model::instant aNow)
+control_plane::ConfirmDirectory(model::instant aNow)
+{
+  if (mDirectory.Revision() >= mUnconfirmedRevision) {
+    mUnconfirmedRevision = model::store_revision();
+    return;
+  }
+  if (aNow - *mConfirmedAt >= kConfirmationGrace && !mDirectoryCall.mBusy &&
+      aNow >= mDirectoryCall.mNextCall) {
+    ReadDirectoryNow(false);
+  }
+}
+
+bool
+control_plane::IsSilent(watch_state& aWatch,
+                        const char* aCall,
+                        model::instant aNow)
+{
+  if (!aWatch.mBusy || !aWatch.mBehindSince ||
+      aNow - *aWatch.mBehindSince < kWatchGrace) {
+    return false;
+  }
+  mMetrics.Count("store_watches_silent", { { "call", aCall } });
+  mLog.Write(ops::log_level::Warning,
+             "store_watch_silent",
+             { { "call", std::string(aCall) } });
+  return true;
+}
+
+void
+control_plane::ReadDirectoryNow(bool aMayBeStale)
 {
-  const bool mayBeStale = aNow >= mFreshReadsUntil;
   mDirectoryCall.mBusy = true;
   mMetrics.Count("store_calls",
-                 { { "call", mayBeStale ? "directory" : "directory_fresh" } });
+                 { { "call", aMayBeStale ? "directory" : "directory_fresh" } });
   mStore.ReadDirectory(
-    mayBeStale,
+    aMayBeStale,
     [this,
-     mayBeStale](const store_result<serving::directory_snapshot>& aResult) {
-      OnDirectoryRead(aResult, mayBeStale);
+     aMayBeStale](const store_result<serving::directory_snapshot>& aResult) {
+      OnDirectoryRead(aResult, aMayBeStale);
     });
 }
 
@@ -440,8 +478,17 @@
   }
   const model::instant now = event_loop::Now();
   const auto& read = std::get<serving::directory_snapshot>(aResult);
+  if (!aMayBeStale) {
+    mUnconfirmedRevision = model::store_revision();
+  }
   if (const auto delta = mDirectory.OnSnapshot(read, now)) {
     OnDirectoryComplete("store", now);
+    const bool changed =
+      !delta->mChangedLeaves.empty() || !delta->mRemovedIds.empty();
+    if (changed && mDirectoryWatchCall.mBusy &&
+        !mDirectoryWatchCall.mBehindSince) {
+      mDirectoryWatchCall.mBehindSince = now;
+    }
     SendDirectoryDelta(*delta, now);
     return;
   }
@@ -451,7 +498,7 @@
                { "known", ToText(mDirectory.Revision()) } });
   if (aMayBeStale) {
     mFreshReadsUntil = now + kFreshReadPeriod;
-    ReadDirectoryNow(now);
+    ReadDirectoryNow(false);
   } else {
     mDirectoryCall.mRetryDelay = retryDelay;
     ScheduleRetry(mDirectoryCall, now);
@@ -502,6 +549,7 @@
   OnCallDone(mDirectoryWatchCall,
              "directory_watch",
              error == nullptr ? std::nullopt : std::optional(*error));
+  mDirectoryWatchCall.mBehindSince.reset();
   const model::instant now = event_loop::Now();
   if (error != nullptr) {
     if (*error == store_error::HistoryLost &&
@@ -509,7 +557,7 @@
       mFreshReadsUntil = now + kFreshReadPeriod;
       mDirectoryCall.mNextCall = now;
       if (!mDirectoryCall.mBusy) {
-        ReadDirectoryNow(now);
+        ReadDirectoryNow(false);
       }
     }
     return;
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -145,6 +145,13 @@
     model::duration mRetryDelay{ 0 };
   };
 
+  /** State of a watch. */
+  struct watch_state : call_state
+  {
+    /** When a change came that the pending watch has not brought. */
+    std::optional<model::instant> mBehindSince;
+  };
+
   /** The keepers of a quota group, as found a moment ago. */
   struct known_keepers
   {
@@ -153,7 +160,14 @@
   };
 
   void PollDirectory(model::instant aNow);
-  void ReadDirectoryNow(model::instant aNow);
+  void ReadDirectoryNow(bool aMayBeStale);
+  /** Reads the registrations afresh if a fresh read of the configuration has
+   * shown that the store has changed since they were last confirmed, and
+   * neither a watch nor a periodic read confirms them soon. */
+  void ConfirmDirectory(model::instant aNow);
+  /** Whether a watch gets no response any more: it has not brought a change
+   * that came in another way. */
+  bool IsSilent(watch_state& aWatch, const char* aCall, model::instant aNow);
   /** Whether the next read of the registrations is due now. */
   bool DirectoryDue(model::instant aNow) const;
   void OnDirectoryRead(const store_result<serving::directory_snapshot>& aResult,
@@ -174,9 +188,6 @@
    * response any more. Not only with the periodic reads of the registrations,
    * which are left out while a watch brings changes. */
   void ConfirmConfig(model::instant aNow);
-  /** Ends the watch of the configuration if it has not brought a version that
-   * came in another way: it gets no response any more. */
-  void EndSilentConfigWatch(model::instant aNow);
   void ReadConfig(bool aMayBeStale);
   void WatchConfig();
   void PullSnapshot(const serving::fleet_member& aFrom);
@@ -221,19 +232,20 @@
   config_text mConfigText; ///< Sent to peers, without keys.
   call_state mDirectoryCall;
   call_state mConfigCall;
-  call_state mConfigWatchCall;
+  watch_state mConfigWatchCall;
   call_state mPullCall;
   model::store_revision mConfigWatchRevision;
   /** Start of the last fresh read of the configuration that was answered. */
   std::optional<model::instant> mConfirmedAt;
-  /** When a version came in another way than by the pending watch. */
-  std::optional<model::instant> mConfigWatchBehindSince;
+  /** The store's revision at that read, if the registrations were not known up
+   * to it; otherwise 0. */
+  model::store_revision mUnconfirmedRevision;
   /** Latest era of the store that this instance or a peer has seen. */
   std::optional<std::uint64_t> mStoreEra;
   /** Last response of the store to this instance or, as reported, to a peer. */
   std::optional<model::instant> mStoreLastContact;
   int mConsecutiveFailures = 0; ///< Consecutive failed calls to the store.
-  call_state mDirectoryWatchCall;
+  watch_state mDirectoryWatchCall;
   /** Set while changes of the registrations are known to be missing. */
   std::optional<model::instant> mDirectoryBehindSince;
   model::instant mFreshReadsUntil; ///< Reads must not be stale until then.
--- a/src/gateway/control_plane_config.cpp
+++ b/src/gateway/control_plane_config.cpp
@@ -17,9 +17,6 @@
 
 /** Malformed entries of a version that are logged. */
 constexpr std::size_t kMaxLoggedProblems = 16;
-/** Time in which a watch brings a version that is already in force; a large one
- * takes a while. */
-constexpr std::chrono::milliseconds kWatchGrace{ 1'000 };
 /** Source of a configuration that another instance sent. */
 constexpr std::string_view kFromPeer = "peer";
 
@@ -39,7 +36,9 @@
     }
     return;
   }
-  EndSilentConfigWatch(aNow);
+  if (IsSilent(mConfigWatchCall, "watch", aNow)) {
+    mStore.EndConfigWatch();
+  }
   if (!mConfigWatchCall.mBusy && aNow >= mConfigWatchCall.mNextCall &&
       mFleet.DutyRank("config", true, aNow) == 0) {
     if (mConfigWatchRevision.Era() >= mStoreEra.value_or(0)) {
@@ -64,24 +63,6 @@
   }
 }
 
-void
-control_plane::EndSilentConfigWatch(model::instant aNow)
-{
-  if (!mConfigWatchBehindSince ||
-      aNow - *mConfigWatchBehindSince < kWatchGrace) {
-    return;
-  }
-  mConfigWatchBehindSince.reset();
-  if (mConfigWatchCall.mBusy) {
-    mMetrics.Count("store_watches_silent", { { "call", "watch" } });
-    mLog.Write(ops::log_level::Warning,
-               "store_watch_silent",
-               { { "call", std::string("watch") },
-                 { "version", static_cast<long>(mConfig->Version()) } });
-    mStore.EndConfigWatch();
-  }
-}
-
 void
 control_plane::ReadConfig(bool aMayBeStale)
 {
@@ -99,6 +80,9 @@
         const auto& text = std::get<config_text>(aResult);
         if (!aMayBeStale) {
           mConfirmedAt = startedAt;
+          if (text.mStoreRevision > mDirectory.Revision()) {
+            mUnconfirmedRevision = text.mStoreRevision;
+          }
         }
         UpdateStoreEra(text.mRevision, "config");
         const bool isFirst = mConfig == nullptr;
@@ -137,7 +121,7 @@
       OnCallDone(mConfigWatchCall,
                  "watch",
                  error == nullptr ? std::nullopt : std::optional(*error));
-      mConfigWatchBehindSince.reset();
+      mConfigWatchCall.mBehindSince.reset();
       if (error != nullptr) {
         // The current value includes all changes that the watch has missed.
         if (!mConfigCall.mBusy && *error == store_error::HistoryLost) {
@@ -233,8 +217,8 @@
     mConfigText.mText = mStore.HideKeys(aText.mText);
   }
   mConfigWatchRevision = std::max(mConfigWatchRevision, aText.mRevision);
-  if (mConfigWatchCall.mBusy && !mConfigWatchBehindSince) {
-    mConfigWatchBehindSince = event_loop::Now();
+  if (mConfigWatchCall.mBusy && !mConfigWatchCall.mBehindSince) {
+    mConfigWatchCall.mBehindSince = event_loop::Now();
   }
   mFleet.SetConfigVersion(mConfig->Version());
   mLog.Write(
--- a/src/gateway/control_store_base.h
+++ b/src/gateway/control_store_base.h
@@ -38,6 +38,8 @@
 {
   model::store_revision mRevision; ///< Of its last change.
   std::string mText;
+  /** Of the whole store at a fresh read; otherwise 0. */
+  model::store_revision mStoreRevision{};
 };
 
 /** Result of a configuration watch. */
@@ -76,7 +78,8 @@
   virtual void WatchConfig(model::store_revision aAfter,
                            std::chrono::milliseconds aWait,
                            callback<config_change> aDone) = 0;
-  /** Ends the pending watch, which completes with Cancelled. */
+  // End the pending watch, which completes with Cancelled.
+  virtual void EndDirectoryWatch() = 0;
   virtual void EndConfigWatch() = 0;
   /** Ends pending watches that continue from a revision of an earlier era: they
    * complete with HistoryLost, since the store may never answer them. */
--- a/test/gateway/control_plane_test.cpp
+++ b/test/gateway/control_plane_test.cpp
@@ -143,6 +143,14 @@
                  });
       });
   }
+  /** Watches get no response from now on, and reads that may be stale show the
+   * store as it is now. */
+  void KeepReadsOld()
+  {
+    for (fake_store& store : mStores) {
+      store.mOldDirectory = { store.mRevision, store.mLeaves };
+    }
+  }
   /** Answers the watches of the registrations that are pending with a change of
    * a leaf that nobody uses. */
   void ChangeThroughWatches()
@@ -282,6 +290,30 @@
   EXPECT_LE(DirectoryReads() - readsBefore, static_cast<int>(kInstances) / 2);
 }
 
+/** Guards against leaves that get requests after they have drained (DRAIN): the
+ * connection of the watch is silent, and reads that may be stale are older than
+ * the drain, so that all that the instances hear confirms what they know. */
+TEST_F(control_plane_test, ADrainIsNoticedBesideASilentWatchAndOldReads)
+{
+  Register(2);
+  RunUntil([&] { return AllKnow(2, false); }, seconds(10));
+  ASSERT_TRUE(AllKnow(2, false));
+  KeepReadsOld();
+  RunUntil([] { return false; }, seconds(4));
+  const model::instant drainedAt = event_loop::Now();
+  Drain();
+  RunUntil([&] { return AllKnow(2, true); }, kDrainBound);
+  EXPECT_TRUE(AllKnow(2, true));
+  EXPECT_LT(event_loop::Now() - drainedAt, kDrainBound);
+  // The silent watch ends, and another one begins.
+  RunUntil([] { return false; }, seconds(2));
+  int ended = 0;
+  for (const fake_store& store : mStores) {
+    ended += store.mDirectoryWatchesEnded;
+  }
+  EXPECT_EQ(ended, 1);
+}
+
 /** Guards against a configuration that comes into force 20 s late (CONFIG): its
  * watches got no response, and the fallback, a read with each periodic read of
  * the registrations, did not take place while these changed all the time. */
--- a/test/gateway/fake_store.h
+++ b/test/gateway/fake_store.h
@@ -46,7 +46,10 @@
     } else if (mDown || mContent.mVersion == 0) {
       aDone(mDown ? store_error::Unreachable : store_error::Absent);
     } else {
-      aDone(config_text{ mConfigRevision, std::to_string(mContent.mVersion) });
+      aDone(config_text{ mConfigRevision,
+                         std::to_string(mContent.mVersion),
+                         aMayBeStale ? model::store_revision()
+                                     : model::store_revision(mRevision) });
     }
   }
   void WatchConfig(model::store_revision /*aAfter*/,
@@ -55,6 +58,11 @@
   {
     mConfigWatch = std::move(aDone);
   }
+  void EndDirectoryWatch() override
+  {
+    ++mDirectoryWatchesEnded;
+    std::exchange(mDirectoryWatch, nullptr)(store_error::Cancelled);
+  }
   void EndConfigWatch() override
   {
     ++mConfigWatchesEnded;
@@ -110,6 +118,7 @@
   bool mDown = false;
   int mDirectoryReads = 0;
   int mConfigReads = 0;
+  int mDirectoryWatchesEnded = 0;
   int mConfigWatchesEnded = 0;
   int mFreshReads = 0; ///< Of both kinds.
   /** Answers reads that may be stale; nothing: they are fresh. */
