Answers read no clock for the quarantine

Each answer of a leaf read two clocks once any crash was known, for the ten minutes in which marks are kept. The time of the answer is handed over, and marks are looked up before the wall clock is read. No change of what is decided; the tests of the quarantine pass.

--- a/src/gateway/entry_instance_base.h
+++ b/src/gateway/entry_instance_base.h
@@ -71,7 +71,8 @@
   void OnLeafCrashed(const leaf_endpoint& aLeaf,
                      const once::suspicion& aSuspicion) override;
   void OnRequestAnswered(const leaf_endpoint& aLeaf,
-                         const once::content_hash& aContent) override;
+                         const once::content_hash& aContent,
+                         model::instant aNow) override;
   void OnConnectionEnded(const leaf_endpoint& aLeaf,
                          const char* aReason) override;
   /** Handles the readiness and metrics endpoints. */
--- a/src/gateway/entry_instance_quarantine.cpp
+++ b/src/gateway/entry_instance_quarantine.cpp
@@ -30,8 +30,8 @@
     if (mQuarantine.Merge(aMark, WallNow()) && !aMark.mCleared &&
         mRecentAnswers.Contains(
           suspicion.mContent, suspicion.mService, event_loop::Now())) {
-      // Gossip takes the cleared mark to the peers: most of them have answers
-      // of their own.
+      // Not sent at once: most peers have answers of their own, and gossip
+      // takes the cleared mark to the others.
       ClearMarks(suspicion.mContent, suspicion.mService);
     }
   };
@@ -76,13 +76,13 @@
 
 void
 entry_instance::OnRequestAnswered(const leaf_endpoint& aLeaf,
-                                  const once::content_hash& aContent)
+                                  const once::content_hash& aContent,
+                                  model::instant aNow)
 {
   const model::service_id service(aLeaf.Entry().mService);
-  const model::instant now = event_loop::Now();
-  mRecentAnswers.Add(aContent, service, now);
-  if (mQuarantine.MarkCount() > 0) {
-    mControlPlane.SendCrashMarks(ClearMarks(aContent, service), now);
+  mRecentAnswers.Add(aContent, service, aNow);
+  if (mQuarantine.HasUnclearedMarks(aContent)) {
+    mControlPlane.SendCrashMarks(ClearMarks(aContent, service), aNow);
   }
 }
 
--- a/src/gateway/leaf_endpoint.cpp
+++ b/src/gateway/leaf_endpoint.cpp
@@ -354,7 +354,8 @@
   std::optional<model::duration> excess;
   const model::duration knownExcess = mLoad.ExcessLatency(endedAt);
   if (end == attempt_end::Answered && succeeded) {
-    mObserver.OnRequestAnswered(*this, aAttempt.mRequest->mContentHash);
+    mObserver.OnRequestAnswered(
+      *this, aAttempt.mRequest->mContentHash, endedAt);
     excess = mLoad.OnAnswer(
       aAttempt.mQueuedAt, work, aAttempt.mRouteMeanLatency, endedAt);
   } else if (end == attempt_end::Answered || end == attempt_end::NotRun) {
--- a/src/gateway/leaf_endpoint_base.h
+++ b/src/gateway/leaf_endpoint_base.h
@@ -226,7 +226,8 @@
   /** The leaf crashed during a request that may have caused the crash. */
   /** The leaf has answered a request, without a server error. */
   virtual void OnRequestAnswered(const leaf_endpoint& aLeaf,
-                                 const once::content_hash& aContent) = 0;
+                                 const once::content_hash& aContent,
+                                 model::instant aNow) = 0;
   virtual void OnLeafCrashed(const leaf_endpoint& aLeaf,
                              const once::suspicion& aSuspicion) = 0;
   /** @param aReason Short text for logs and metrics. */
--- a/src/once/quarantine.cpp
+++ b/src/once/quarantine.cpp
@@ -159,6 +159,19 @@
   return proved ? screening_permit::Refused : screening_permit::Isolated;
 }
 
+bool
+quarantine::HasUnclearedMarks(const content_hash& aContent) const
+{
+  for (auto position = mMarks.lower_bound({ aContent, {} });
+       position != mMarks.end() && position->first.first == aContent;
+       ++position) {
+    if (!position->second.mCleared) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<crash_mark>
 quarantine::UnexpiredMarks(model::wall_instant aWall) const
 {
--- a/src/once/quarantine_base.h
+++ b/src/once/quarantine_base.h
@@ -77,6 +77,7 @@
 
   void OnTimer(model::wall_instant aWall); ///< Removes the expired marks.
   std::size_t MarkCount() const { return mMarks.size(); }
+  bool HasUnclearedMarks(const content_hash& aContent) const;
 
 private:
   using mark_key = std::pair<content_hash, crash_hash>;
--- a/test/gateway/permit_client_test.cpp
+++ b/test/gateway/permit_client_test.cpp
@@ -88,7 +88,8 @@
   }
   void OnLeafError(const leaf_endpoint& /*aLeaf*/) override {}
   void OnRequestAnswered(const leaf_endpoint& /*aLeaf*/,
-                         const once::content_hash& /*aContent*/) override
+                         const once::content_hash& /*aContent*/,
+                         model::instant /*aNow*/) override
   {
   }
   void OnLeafCrashed(const leaf_endpoint& /*aLeaf*/,
--- a/test/once/quarantine_test.cpp
+++ b/test/once/quarantine_test.cpp
@@ -175,7 +175,10 @@
   EXPECT_TRUE(table.OnServiceAnswered(content, other, now).empty());
   EXPECT_TRUE(table.OnServiceAnswered({ 2, 2 }, kService, now).empty());
   EXPECT_EQ(table.Admit(content, kService, now), screening_permit::Refused);
+  EXPECT_TRUE(table.HasUnclearedMarks(content));
+  EXPECT_FALSE(table.HasUnclearedMarks({ 2, 2 }));
   const auto cleared = table.OnServiceAnswered(content, kService, now);
+  EXPECT_FALSE(table.HasUnclearedMarks(content));
   ASSERT_EQ(cleared.size(), 2U);
   EXPECT_TRUE(cleared.front().mCleared);
   EXPECT_TRUE(table.OnServiceAnswered(content, kService, now).empty());
