Cheap reads of the configuration stay between the fresh ones

A cheap read comes with each periodic read of the registrations again, unless a fresh one is due before the next.

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -391,7 +391,11 @@
   if (!mDirectoryCall.mBusy && aNow >= mDirectoryCall.mNextCall &&
       DirectoryDue(aNow)) {
     ReadDirectoryNow(aNow >= mFreshReadsUntil);
-    ConfirmConfig(aNow);
+    // The watches of the configuration may have fallen silent unnoticed.
+    if (mConfig && !mConfigCall.mBusy && aNow >= mConfigCall.mNextCall) {
+      ReadConfig(aNow >= mFreshReadsUntil &&
+                 !ConfirmationDue(aNow + mSettings.mDirectoryPeriod));
+    }
   }
   ConfirmDirectory(aNow);
   if (IsSilent(mDirectoryWatchCall, "directory_watch", aNow)) {
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -184,9 +184,9 @@
   void UpdateConfig(model::instant aNow);
   /** Whether the last fresh read of the configuration was too long ago. */
   bool ConfirmationDue(model::instant aNow) const;
-  /** Reads the configuration if a fresh read is due: watches may get no
-   * response any more. Not only with the periodic reads of the registrations,
-   * which are left out while a watch brings changes. */
+  /** Reads the configuration if a fresh read is due. The reads that come with
+   * the periodic ones of the registrations do not suffice, since these are left
+   * out while a watch brings changes. */
   void ConfirmConfig(model::instant aNow);
   void ReadConfig(bool aMayBeStale);
   void WatchConfig();
