A stopping process that runs late exits without its last answers

Cause: the steps of a stop follow from the time. A process that does not run for 0.2 s passes over the step that answers all requests and comes to the exit.

Evidence: stop_test.AProcessThatRunsLateAnswersBeforeItExits, which blocks the loop over that step, failed before: neither request had an answer.

Change: the exit answers what is left first.

--- a/src/gateway/entry_instance.cpp
+++ b/src/gateway/entry_instance.cpp
@@ -437,6 +437,8 @@
       AnswerAtStop(stop_answers::All);
       return;
     case stop_sequence::step::Exit:
+      // The process may not have run during the step before.
+      AnswerAtStop(stop_answers::All);
       mLog.Write(
         ops::log_level::Info,
         "stopped",
--- a/test/gateway/stop_test.cpp
+++ b/test/gateway/stop_test.cpp
@@ -5,6 +5,7 @@
 #include "workspace_fixture.h"
 
 #include <map>
+#include <thread>
 
 namespace monsooncroft::gateway {
 namespace {
@@ -73,6 +74,27 @@
   EXPECT_EQ(mAnswers["sent"].mStatus, 502);
 }
 
+/** Guards against requests that are cut since the process did not run when it
+ * should have answered them: on a busy machine, its next step was the exit. */
+TEST_F(stop_test, AProcessThatRunsLateAnswersBeforeItExits)
+{
+  AddLeaf("plain", [](auto& /*aConnection*/, const auto& /*aRequest*/) {});
+  AddRoute(serving::repeatability::Idempotent);
+  mStore.mContent.mServices["plain"] = { 1 };
+  Start();
+  Send("sent");
+  Send("waits");
+  mInstance->Stop("test");
+  RunFor(milliseconds(100));
+  std::this_thread::sleep_for(mSettings.mStopBound - milliseconds(200));
+  // Each tick stops the loop once the process would exit.
+  for (int round = 0; round < 10; ++round) {
+    RunFor(milliseconds(20));
+  }
+  EXPECT_EQ(mAnswers["waits"].mStatus, 503);
+  EXPECT_EQ(mAnswers["sent"].mStatus, 502);
+}
+
 /** Guards against answers of leaves that are not waited for although there is
  * time until the exit. */
 TEST_F(stop_test, ARequestAtALeafIsWaitedFor)
