--- a/review/lib3/harness.h
+++ b/review/lib3/harness.h
@@ -1,7 +1,8 @@
 /**
  * @file harness.h
- * Stand-ins for the platform's store, leaves and clients, and the start of entry instances, for the scripts of this
- * review. All sockets are on loopback addresses.
+ * Stand-ins for the platform's store, leaves and clients, and the start of
+ * entry instances, for the scripts of this review. All sockets are on loopback
+ * addresses.
  */
 #ifndef MONSOONCROFT_REVIEW_LIB3_HARNESS_H
 #define MONSOONCROFT_REVIEW_LIB3_HARNESS_H
@@ -76,7 +77,8 @@
   void Line(const std::string& aText)
   {
     const std::lock_guard lock(mMutex);
-    std::fprintf(mFile, "%7.3f %s\n", (NowMs() - mStart) / 1000.0, aText.c_str());
+    std::fprintf(
+      mFile, "%7.3f %s\n", (NowMs() - mStart) / 1000.0, aText.c_str());
     std::fflush(mFile);
   }
   /** Also to standard output. */
@@ -129,7 +131,8 @@
   return fd;
 }
 
-/** A run of ports that are free for TCP and UDP on an address at this moment. */
+/** A run of ports that are free for TCP and UDP on an address at this moment.
+ */
 inline std::vector<int>
 FreePorts(const std::vector<std::string>& aIps, std::size_t aCount)
 {
@@ -142,8 +145,8 @@
       for (const int type : { SOCK_STREAM, SOCK_DGRAM }) {
         const int fd = ::socket(AF_INET, type, 0);
         sockaddr_in at = SocketAddress({ ip, port });
-        free = free &&
-               ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)) == 0;
+        free =
+          free && ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)) == 0;
         ::close(fd);
       }
     }
@@ -182,7 +185,7 @@
 
 struct message
 {
-  std::string mStart; ///< First line.
+  std::string mStart;                         ///< First line.
   std::map<std::string, std::string> mFields; ///< Names in lower case.
   std::string mBody;
 
@@ -263,10 +266,12 @@
       position = lineEnd + 2;
       const auto colon = line.find(':');
       std::string name = line.substr(0, colon);
-      std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
-        return std::tolower(c);
-      });
-      std::string value = colon == std::string::npos ? "" : line.substr(colon + 1);
+      std::transform(name.begin(),
+                     name.end(),
+                     name.begin(),
+                     [](unsigned char c) { return std::tolower(c); });
+      std::string value =
+        colon == std::string::npos ? "" : line.substr(colon + 1);
       value.erase(0, value.find_first_not_of(' '));
       aOut.mFields[name] = value;
     }
@@ -388,16 +393,20 @@
 {
   std::map<std::string, std::string> out;
   const auto start = aTarget.find('?');
-  std::string rest = start == std::string::npos ? "" : aTarget.substr(start + 1);
+  std::string rest =
+    start == std::string::npos ? "" : aTarget.substr(start + 1);
   while (!rest.empty()) {
     const auto end = std::min(rest.find('&'), rest.size());
     const std::string item = rest.substr(0, end);
     rest.erase(0, end + 1);
     const auto equals = item.find('=');
     std::string value;
-    for (std::size_t at = equals + 1; equals != std::string::npos && at < item.size(); ++at) {
+    for (std::size_t at = equals + 1;
+         equals != std::string::npos && at < item.size();
+         ++at) {
       if (item[at] == '%' && at + 2 < item.size()) {
-        value += static_cast<char>(std::stoi(item.substr(at + 1, 2), nullptr, 16));
+        value +=
+          static_cast<char>(std::stoi(item.substr(at + 1, 2), nullptr, 16));
         at += 2;
       } else {
         value += item[at];
@@ -418,7 +427,8 @@
 
   explicit store(const std::string& aIp, std::size_t aPageItems = 50)
     : mPageItems(aPageItems)
-    , mServer({ aIp, 0 }, [this](connection& aConnection) { Serve(aConnection); })
+    , mServer({ aIp, 0 },
+              [this](connection& aConnection) { Serve(aConnection); })
   {
   }
 
@@ -486,7 +496,8 @@
         continue;
       }
       const auto known = state.find(each.mKey);
-      const long created = known == state.end() ? each.mRevision : known->second.mCreated;
+      const long created =
+        known == state.end() ? each.mRevision : known->second.mCreated;
       state[each.mKey] = { each.mValue, each.mRevision, created };
     }
     return { state, revision };
@@ -494,8 +505,10 @@
 
   static json ItemJson(const std::string& aKey, const item& aItem)
   {
-    return { { "key", aKey },           { "value", Base64(aItem.mValue) },
-             { "revision", aItem.mRevision }, { "created", aItem.mCreated },
+    return { { "key", aKey },
+             { "value", Base64(aItem.mValue) },
+             { "revision", aItem.mRevision },
+             { "created", aItem.mCreated },
              { "lease", 0 } };
   }
 
@@ -510,10 +523,11 @@
         return;
       }
       const std::string text = body->dump();
-      WriteAll(aConnection.Fd(),
-               "HTTP/1.1 " + std::to_string(status) +
-                 " Answer\r\nContent-Type: application/json\r\nContent-Length: " +
-                 std::to_string(text.size()) + "\r\n\r\n" + text);
+      WriteAll(
+        aConnection.Fd(),
+        "HTTP/1.1 " + std::to_string(status) +
+          " Answer\r\nContent-Type: application/json\r\nContent-Length: " +
+          std::to_string(text.size()) + "\r\n\r\n" + text);
     }
   }
 
@@ -543,7 +557,8 @@
     }
     if (path == "/monsooncroft/kv-range") {
       const bool cheap = query["serializable"] == "1";
-      const long age = cheap && mReadAge ? mReadAge(query["prefix"], query["after"]) : 0;
+      const long age =
+        cheap && mReadAge ? mReadAge(query["prefix"], query["after"]) : 0;
       const auto [state, revision] = StateBefore(age);
       json items = json::array();
       bool more = false;
@@ -557,7 +572,9 @@
         }
         items.push_back(ItemJson(key, each));
       }
-      return json{ { "items", items }, { "has_more", more }, { "store_revision", revision } };
+      return json{ { "items", items },
+                   { "has_more", more },
+                   { "store_revision", revision } };
     }
     if (path == "/monsooncroft/kv-watch") {
       const long after = std::atol(query["after"].c_str());
@@ -565,13 +582,17 @@
       json events = json::array();
       const auto collect = [&] {
         for (const event& each : mEvents) {
-          if (each.mRevision <= after || each.mKey.rfind(query["prefix"], 0) != 0) {
+          if (each.mRevision <= after ||
+              each.mKey.rfind(query["prefix"], 0) != 0) {
             continue;
           }
           if (each.mRemoved) {
-            events.push_back({ { "key", each.mKey }, { "revision", each.mRevision }, { "removed", true } });
+            events.push_back({ { "key", each.mKey },
+                               { "revision", each.mRevision },
+                               { "removed", true } });
           } else {
-            events.push_back(ItemJson(each.mKey, { each.mValue, each.mRevision, each.mRevision }));
+            events.push_back(ItemJson(
+              each.mKey, { each.mValue, each.mRevision, each.mRevision }));
           }
         }
       };
@@ -605,12 +626,17 @@
              const std::string& aState,
              long aBorn)
 {
-  return json{ { "service", aService }, { "address", aAddress.Text() },
-               { "zone", aZone },       { "version", "v1" },
-               { "slots", 2 },          { "state", aState },
-               { "cold_remaining_ms", 0 }, { "sequence", 1 },
-               { "born", aBorn } }
-    .dump();
+  return json{
+    { "service", aService },
+    { "address", aAddress.Text() },
+    { "zone", aZone },
+    { "version", "v1" },
+    { "slots", 2 },
+    { "state", aState },
+    { "cold_remaining_ms", 0 },
+    { "sequence", 1 },
+    { "born", aBorn }
+  }.dump();
 }
 
 /** One entry instance. */
@@ -625,7 +651,7 @@
   int mPeer = 0;
   address mStore;
   std::vector<std::string> mSeedIps;
-  std::string mFolder; ///< For the settings file and the log.
+  std::string mFolder;      ///< For the settings file and the log.
   std::string mExtraBounds; ///< Lines of the settings under bounds.
   pid_t mPid = -1;
 
@@ -637,28 +663,45 @@
     std::FILE* file = std::fopen(SettingsPath().c_str(), "w");
     std::fprintf(
       file,
-      "node_name: \"%s\"\nrole: \"entry\"\nmachine_class: \"front\"\nserves:\n  - \"front\"\n  - \"control\"\n"
+      "node_name: \"%s\"\nrole: \"entry\"\nmachine_class: \"front\"\nserves:\n "
+      " - \"front\"\n  - \"control\"\n"
       "ip: \"%s\"\nzone: \"%s\"\nregion: \"delta-north\"\n"
-      "zones:\n  tanta: \"delta-north\"\n  mahalla: \"delta-north\"\n  kafr-zayat: \"delta-north\"\n"
+      "zones:\n  tanta: \"delta-north\"\n  mahalla: \"delta-north\"\n  "
+      "kafr-zayat: \"delta-north\"\n"
       "listen:\n  front: \"%s:%d\"\n  ready: \"%s:%d\"\n  control: \"%s:%d\"\n"
       "internal_port_range:\n  - %d\n  - %d\nseeds:\n",
-      mName.c_str(), mIp.c_str(), mZone.c_str(), mIp.c_str(), mFront, mIp.c_str(), mReady, mIp.c_str(),
-      mControl, mPeer, mPeer + 1);
+      mName.c_str(),
+      mIp.c_str(),
+      mZone.c_str(),
+      mIp.c_str(),
+      mFront,
+      mIp.c_str(),
+      mReady,
+      mIp.c_str(),
+      mControl,
+      mPeer,
+      mPeer + 1);
     for (const std::string& ip : mSeedIps) {
       std::fprintf(file, "  - \"%s:%d\"\n", ip.c_str(), mControl);
     }
-    std::fprintf(
-      file,
-      "bootstrap: true\nin_failure_budget: false\n"
-      "limits:\n  cpu_share: 0.25\n  cores: 1\n  memory_mb: 260\n  max_fds: 4100\n  link_mbps: 1000.0\n  disk_mb: 0\n"
-      "data_dir: null\ndiscovery: \"platform\"\nentry: \"vip\"\nheartbeat_ms: 1200\n"
-      "bounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  stability_window_ms: 4000\n  ack_timeout_ms: 5000\n"
-      "  catch_up_s: 4\n  drain_ms: 3000\n  grace_s: 6\n  loss_slack_ms: 200\n  config_apply_ms: 3000\n"
-      "  rollback_slack_ms: 250\n  max_skew_ms: 12000\n  retry_budget_ratio: 0.2\n  budget_window_s: 10\n"
-      "  retry_budget_slack: 58\n  recovery_s: 12\n%s"
-      "platform:\n  address: \"%s\"\n  form: \"kv\"\n  writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n"
-      "  max_value_bytes: 1048576\n  min_ttl_ms: 1000\n",
-      mExtraBounds.c_str(), mStore.Text().c_str());
+    std::fprintf(file,
+                 "bootstrap: true\nin_failure_budget: false\n"
+                 "limits:\n  cpu_share: 0.25\n  cores: 1\n  memory_mb: 260\n  "
+                 "max_fds: 4100\n  link_mbps: 1000.0\n  disk_mb: 0\n"
+                 "data_dir: null\ndiscovery: \"platform\"\nentry: "
+                 "\"vip\"\nheartbeat_ms: 1200\n"
+                 "bounds:\n  seed_lag_s: 3\n  reuse_after_s: 2\n  "
+                 "stability_window_ms: 4000\n  ack_timeout_ms: 5000\n"
+                 "  catch_up_s: 4\n  drain_ms: 3000\n  grace_s: 6\n  "
+                 "loss_slack_ms: 200\n  config_apply_ms: 3000\n"
+                 "  rollback_slack_ms: 250\n  max_skew_ms: 12000\n  "
+                 "retry_budget_ratio: 0.2\n  budget_window_s: 10\n"
+                 "  retry_budget_slack: 58\n  recovery_s: 12\n%s"
+                 "platform:\n  address: \"%s\"\n  form: \"kv\"\n  "
+                 "writes_per_s: 400\n  reads_per_s: 2000\n  history_s: 20\n"
+                 "  max_value_bytes: 1048576\n  min_ttl_ms: 1000\n",
+                 mExtraBounds.c_str(),
+                 mStore.Text().c_str());
     std::fclose(file);
   }
 
@@ -669,7 +712,9 @@
     if (mPid == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Ends with the script.
       ::setenv("MONSOONCROFT_CONFIG", SettingsPath().c_str(), 1);
-      const int log = ::open((mFolder + "/" + mName + ".log").c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
+      const int log = ::open((mFolder + "/" + mName + ".log").c_str(),
+                             O_CREAT | O_WRONLY | O_APPEND,
+                             0644);
       ::dup2(log, 1);
       ::dup2(log, 2);
       ::execl(aProgram.c_str(), aProgram.c_str(), static_cast<char*>(nullptr));
@@ -707,11 +752,15 @@
   bool IsReady() const
   {
     const auto link = Connect({ mIp, mReady });
-    if (!link || !WriteAll(link->Fd(), "GET /monsooncroft/readiness HTTP/1.1\r\nHost: ready\r\n\r\n")) {
+    if (!link ||
+        !WriteAll(
+          link->Fd(),
+          "GET /monsooncroft/readiness HTTP/1.1\r\nHost: ready\r\n\r\n")) {
       return false;
     }
     message answer;
-    return link->Read(answer, 500) == read_end::Message && answer.Status() == 200;
+    return link->Read(answer, 500) == read_end::Message &&
+           answer.Status() == 200;
   }
   bool AwaitReady(long aMs) const
   {
@@ -729,7 +778,9 @@
 
 /** Instances with the same ports on addresses of their own, seeds included. */
 inline std::vector<instance>
-MakeInstances(const std::vector<std::string>& aZones, const address& aStore, const std::string& aFolder)
+MakeInstances(const std::vector<std::string>& aZones,
+              const address& aStore,
+              const std::string& aFolder)
 {
   std::vector<std::string> ips;
   for (std::size_t index = 0; index < aZones.size(); ++index) {
@@ -741,14 +792,17 @@
   for (std::size_t index = 0; index < aZones.size(); ++index) {
     instance& each = out[index];
     each.mZone = aZones[index];
-    each.mName = "front-" + each.mZone + "-" + std::to_string(++ofZone[each.mZone]);
+    each.mName =
+      "front-" + each.mZone + "-" + std::to_string(++ofZone[each.mZone]);
     each.mIp = ips[index];
     each.mFront = ports[0];
     each.mReady = ports[1];
     each.mControl = ports[2];
     each.mPeer = ports[3];
     each.mStore = aStore;
-    each.mSeedIps = { ips.begin(), ips.begin() + static_cast<long>(std::min<std::size_t>(3, ips.size())) };
+    each.mSeedIps = { ips.begin(),
+                      ips.begin() + static_cast<long>(
+                                      std::min<std::size_t>(3, ips.size())) };
     each.mFolder = aFolder;
   }
   return out;
