--- a/review/lib3/run-driver.sh
+++ b/review/lib3/run-driver.sh
@@ -1,4 +1,4 @@
-# Sourced by the run.sh of each case: runs its driver with the program of the deploy file.
+# Sourced by the run.sh of each case, which sets trouble: runs its driver with the program of the deploy file.
 # Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
@@ -13,7 +13,7 @@
 trap 'rm -rf "$folder"' EXIT
 cd "$root"
 status=0
-timeout -k 5 110 "$driver" "$program" "$here/record.txt" "$folder" "${TROUBLE:-1}" || status=$?
+timeout -k 5 110 "$driver" "$program" "$here/record.txt" "$folder" "$trouble" || status=$?
 case $status in
   0 | 1) exit "$status" ;;
   *) exit 2 ;;
