Review: cases 13 to 15 in the order of their gravity

The loss of power (DRAIN) is now 13, the cut beside kills (QUOTA) 14, and the quota that is lowered and restored (QUOTA) 15.

--- a/review/14/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 14: a quota that is changed and changed back grants its burst again each time.
+# Case 13: a leaf that has left is kept after a loss of power of the machines that read the registrations.
 set -uo pipefail
 # 1: with the disruption; 0: the same without it, which must pass.
 trouble=${TROUBLE:-1}
