Leaves that have left return from old pages of a read

Cause: a read of the registrations in pages took its first page's revision for all keys. A later page of a cheap read that was 5 s old was merged as if it were of the newest revision, which undid the removal, and that revision showed that no fresh read was due. No single revision is right: a page shows what there is, and what there is not, in its own range of keys at its own revision.

What is older than what is known of a key is ignored, whether the leaf is listed or missing, also if its removal has been forgotten, or was never known since a read skipped it. A cheap read of which a page is old leads to a fresh one; the revision that all ranges have reached is the one that a watch continues from and that is compared with a fresh read's. Removals that an instance knows from a later revision than its own are passed on with theirs. The log tells pages of different revisions (directory_pages_differ).

--- a/src/gateway/control_plane.cpp
+++ b/src/gateway/control_plane.cpp
@@ -467,6 +467,22 @@
     });
 }
 
+void
+control_plane::LogPageRevisions(const serving::directory_snapshot& aRead)
+{
+  if (aRead.mRanges.IsUniform()) {
+    return;
+  }
+  mMetrics.Count("directory_reads_of_several_revisions");
+  std::string revisions;
+  for (const auto& [after, revision] : aRead.mRanges.Ranges()) {
+    revisions += (revisions.empty() ? "" : " ") + ToText(revision);
+  }
+  mLog.Write(ops::log_level::Info,
+             "directory_pages_differ",
+             { { "revisions", revisions } });
+}
+
 void
 control_plane::OnDirectoryRead(
   const store_result<serving::directory_snapshot>& aResult,
@@ -485,8 +501,10 @@
   if (!aMayBeStale) {
     mUnconfirmedRevision = model::store_revision();
   }
+  LogPageRevisions(read);
+  const bool isOld = mDirectory.KnowsNewerThan(read);
+  const model::store_revision known = mDirectory.Revision();
   if (const auto delta = mDirectory.OnSnapshot(read, now)) {
-    OnDirectoryComplete("store", now);
     const bool changed =
       !delta->mChangedLeaves.empty() || !delta->mRemovedIds.empty();
     if (changed && mDirectoryWatchCall.mBusy &&
@@ -494,12 +512,15 @@
       mDirectoryWatchCall.mBehindSince = now;
     }
     SendDirectoryDelta(*delta, now);
+  }
+  if (!isOld) {
+    OnDirectoryComplete("store", now);
     return;
   }
-  mLog.Write(ops::log_level::Info,
-             "directory_read_old",
-             { { "revision", ToText(read.mRevision) },
-               { "known", ToText(mDirectory.Revision()) } });
+  mLog.Write(
+    ops::log_level::Info,
+    "directory_read_old",
+    { { "revision", ToText(read.mRevision) }, { "known", ToText(known) } });
   if (aMayBeStale) {
     mFreshReadsUntil = now + kFreshReadPeriod;
     ReadDirectoryNow(false);
--- a/src/gateway/control_plane_base.h
+++ b/src/gateway/control_plane_base.h
@@ -170,6 +170,8 @@
   bool IsSilent(watch_state& aWatch, const char* aCall, model::instant aNow);
   /** Whether the next read of the registrations is due now. */
   bool DirectoryDue(model::instant aNow) const;
+  /** Logs that the pages of a read are of different revisions. */
+  void LogPageRevisions(const serving::directory_snapshot& aRead);
   void OnDirectoryRead(const store_result<serving::directory_snapshot>& aResult,
                        bool aMayBeStale);
   void WatchDirectory(model::instant aNow);
--- a/src/serving/fleet_codec.cpp
+++ b/src/serving/fleet_codec.cpp
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <iterator>
+
 namespace monsooncroft::serving {
 
 namespace {
@@ -151,14 +153,68 @@
                        aMark.mExpires.time_since_epoch().count() });
 }
 
+/** Encodes revisions as one flat array: ids, or those after which ranges begin,
+ * each with its revision. */
+json
+ToArray(const std::map<std::string, model::store_revision>& aRevisions)
+{
+  json out = json::array();
+  for (const auto& [id, revision] : aRevisions) {
+    out.push_back(id);
+    out.push_back(revision.Pack());
+  }
+  return out;
+}
+
+std::map<std::string, model::store_revision>
+ToRevisions(const json& aArray)
+{
+  std::map<std::string, model::store_revision> revisions;
+  for (std::size_t index = 0; index + 1 < aArray.size(); index += 2) {
+    revisions[aArray.at(index).get<std::string>()] =
+      ToRevision(aArray.at(index + 1));
+  }
+  return revisions;
+}
+
+key_revisions
+ToKeyRevisions(const json& aArray)
+{
+  key_revisions revisions;
+  const auto starts = ToRevisions(aArray);
+  for (auto range = starts.begin(); range != starts.end(); ++range) {
+    const auto next = std::next(range);
+    revisions.Raise(range->first,
+                    next == starts.end() ? std::nullopt
+                                         : std::optional(next->first),
+                    range->second);
+  }
+  return revisions;
+}
+
+/** Whether a delta has elements that instances of earlier versions do not
+ * know. */
+bool
+HasKeyRevisions(const directory_delta& aDelta)
+{
+  return !aDelta.mRanges.IsUniform() || !aDelta.mBaseRanges.IsUniform() ||
+         !aDelta.mLaterRevisions.empty();
+}
+
 json
 ToArray(const directory_delta& aDelta)
 {
-  return json::array({ aDelta.mBaseRevision.Pack(),
-                       aDelta.mRevision.Pack(),
-                       ToArrays(aDelta.mChangedLeaves),
-                       aDelta.mRemovedIds,
-                       aDelta.mMissingIds });
+  json out = json::array({ aDelta.mBaseRevision.Pack(),
+                           aDelta.mRevision.Pack(),
+                           ToArrays(aDelta.mChangedLeaves),
+                           aDelta.mRemovedIds,
+                           aDelta.mMissingIds });
+  if (HasKeyRevisions(aDelta)) {
+    out.push_back(ToArray(aDelta.mRanges.Ranges()));
+    out.push_back(ToArray(aDelta.mLaterRevisions));
+    out.push_back(ToArray(aDelta.mBaseRanges.Ranges()));
+  }
+  return out;
 }
 
 directory_delta
@@ -175,6 +231,11 @@
   if (aArray.size() > 4) {
     delta.mMissingIds = aArray.at(4).get<std::vector<std::string>>();
   }
+  if (aArray.size() > 7) {
+    delta.mRanges = ToKeyRevisions(aArray.at(5));
+    delta.mLaterRevisions = ToRevisions(aArray.at(6));
+    delta.mBaseRanges = ToKeyRevisions(aArray.at(7));
+  }
   return delta;
 }
 
@@ -430,7 +491,7 @@
 std::string
 EncodeSnapshot(const fleet_snapshot& aSnapshot)
 {
-  return Pack(json::array(
+  json array = json::array(
     { kFormatVersion,
       aSnapshot.mConfigVersion,
       aSnapshot.mConfigRevision.Pack(),
@@ -440,7 +501,12 @@
       aSnapshot.mDirectory.mBaseRevision.Pack(),
       aSnapshot.mDirectory.mRemovedIds,
       aSnapshot.mCompleteAgeMs ? json(*aSnapshot.mCompleteAgeMs) : json(),
-      aSnapshot.mDirectory.mMissingIds }));
+      aSnapshot.mDirectory.mMissingIds });
+  if (HasKeyRevisions(aSnapshot.mDirectory)) {
+    array.push_back(ToArray(aSnapshot.mDirectory.mRanges.Ranges()));
+    array.push_back(ToArray(aSnapshot.mDirectory.mLaterRevisions));
+  }
+  return Pack(array);
 }
 
 std::optional<fleet_snapshot>
@@ -470,6 +536,10 @@
       snapshot.mDirectory.mMissingIds =
         value->at(9).get<std::vector<std::string>>();
     }
+    if (value->size() > 11) {
+      snapshot.mDirectory.mRanges = ToKeyRevisions(value->at(10));
+      snapshot.mDirectory.mLaterRevisions = ToRevisions(value->at(11));
+    }
     return snapshot;
   } catch (const json::exception&) {
     return std::nullopt; // The caller logs the failure with the sender.
--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -46,6 +46,15 @@
 {
   // A peer may know a leaf from a change beyond its own revision.
   aSeenAt = std::max(aSeenAt, aLeaf.mRevision);
+  if (aSeenAt >= mKnownRevisions.At(aLeaf.mId)) {
+    Merge(aLeaf, aSeenAt);
+  }
+}
+
+void
+leaf_directory::Merge(const leaf_registration& aLeaf,
+                      model::store_revision aSeenAt)
+{
   const auto missing = mMissingRevisions.find(aLeaf.mId);
   const bool returned =
     missing != mMissingRevisions.end() && missing->second <= aSeenAt;
@@ -109,7 +118,7 @@
   const auto restored = std::exchange(mRestoredLeaves, {});
   for (const auto& [id, leaf] : restored) {
     mRemovedLeaves.erase(id);
-    Put(leaf.mRegistration, leaf.mSeenAt);
+    Merge(leaf.mRegistration, leaf.mSeenAt);
   }
 }
 
@@ -196,7 +205,13 @@
                           model::store_revision aRevision,
                           bool aKeep)
 {
-  if (aKeep) {
+  const model::store_revision known = mKnownRevisions.At(aId);
+  if (aRevision < known) {
+    // Peers may know a leaf that came and left between the revisions.
+    if (!mLeaves.contains(aId) && !mRestoredLeaves.contains(aId)) {
+      Remove(aId, known);
+    }
+  } else if (aKeep) {
     mRestoredLeaves.erase(aId);
     mMissingRevisions[aId] = aRevision;
   } else {
@@ -208,19 +223,21 @@
 leaf_directory::OnSnapshot(const directory_snapshot& aSnapshot,
                            model::instant aNow)
 {
-  if (aSnapshot.mRevision < mRevision) {
+  const key_revisions revisions = aSnapshot.Revisions();
+  if (revisions.AllBelow(mKnownRevisions)) {
     return std::nullopt;
   }
+  const bool complete = !revisions.AnyBelow(mKnownRevisions);
   UpdateEra(aSnapshot.mRevision, aNow);
   const bool keepMissing = OnStoreRead(aNow);
   if (mRevision == model::store_revision()) {
     mHistoryStart = aSnapshot.mRevision;
   }
-  const model::store_revision base = std::max(mRevision, mHistoryStart);
+  const key_revisions base = DeltaBase();
   std::set<std::string> present;
   for (const leaf_registration& leaf : aSnapshot.mLeaves) {
     present.insert(leaf.mId);
-    Put(leaf, aSnapshot.mRevision);
+    Put(leaf, revisions.At(leaf.mId));
   }
   std::vector<std::string> missing;
   for (const auto* leaves : { &mLeaves, &mRestoredLeaves }) {
@@ -231,27 +248,29 @@
     }
   }
   for (const std::string& id : missing) {
-    OnMissing(id, aSnapshot.mRevision, keepMissing);
+    OnMissing(id, revisions.At(id), keepMissing);
   }
-  SkipTo(aSnapshot.mRevision);
-  SetCompleteAt(aNow);
-  return ChangesSince(base);
+  SkipTo(revisions);
+  if (complete) {
+    SetCompleteAt(aNow);
+  }
+  return MakeDelta(base);
 }
 
 directory_delta
 leaf_directory::OnWatch(const directory_delta& aChanges, model::instant aNow)
 {
   const bool keepMissing = OnStoreRead(aNow);
-  const model::store_revision base = mRevision;
+  const key_revisions base = DeltaBase();
   for (const leaf_registration& leaf : aChanges.mChangedLeaves) {
     Put(leaf, aChanges.mRevision);
   }
   for (const std::string& id : aChanges.mRemovedIds) {
     OnMissing(id, aChanges.mRevision, keepMissing);
   }
-  mRevision = std::max(mRevision, aChanges.mRevision);
+  RaiseRevisions(aChanges.mRevision);
   SetCompleteAt(aNow);
-  return ChangesSince(base);
+  return MakeDelta(base);
 }
 
 void
@@ -269,43 +288,70 @@
 void
 leaf_directory::ApplyDelta(const directory_delta& aDelta)
 {
+  const auto revisionOf =
+    [&, revisions = aDelta.Revisions()](const std::string& aId) {
+      const auto later = aDelta.mLaterRevisions.find(aId);
+      return later == aDelta.mLaterRevisions.end()
+               ? revisions.At(aId)
+               : std::max(revisions.At(aId), later->second);
+    };
   for (const leaf_registration& leaf : aDelta.mChangedLeaves) {
-    Put(leaf, aDelta.mRevision);
+    Put(leaf, revisionOf(leaf.mId));
   }
   for (const std::string& id : aDelta.mRemovedIds) {
-    Remove(id, aDelta.mRevision);
+    OnMissing(id, revisionOf(id), false);
   }
   for (const std::string& id : aDelta.mMissingIds) {
-    mRestoredLeaves.erase(id);
-    mMissingRevisions[id] = aDelta.mRevision; // Also if unknown: peers ask.
+    if (revisionOf(id) >= mKnownRevisions.At(id)) {
+      OnMissing(id, revisionOf(id), true); // Also if unknown: peers ask.
+    }
+  }
+}
+
+void
+leaf_directory::ApplyNewerRanges(const directory_delta& aDelta)
+{
+  if (!aDelta.Revisions().AllBelow(mKnownRevisions)) {
+    ApplyDelta(aDelta);
   }
 }
 
 void
-leaf_directory::SkipTo(model::store_revision aRevision)
+leaf_directory::RaiseRevisions(const key_revisions& aRevisions)
 {
-  if (aRevision.Era() != mRevision.Era()) {
+  mKnownRevisions.Raise(aRevisions);
+  mRevision = mKnownRevisions.Least();
+}
+
+void
+leaf_directory::SkipTo(const key_revisions& aRevisions)
+{
+  const model::store_revision before = mRevision;
+  const model::store_revision greatest = aRevisions.Greatest();
+  RaiseRevisions(aRevisions);
+  if (mRevision.Era() != before.Era()) {
     mSkippedRevisions.clear();
-  } else if (aRevision > mRevision) {
-    mSkippedRevisions.emplace_back(mRevision, aRevision);
+  } else if (greatest > before) {
+    mSkippedRevisions.emplace_back(before, greatest);
   }
   if (mSkippedRevisions.size() > kMaxSkippedRanges) {
     mHistoryStart = std::max(mHistoryStart, mSkippedRevisions.front().second);
     mSkippedRevisions.pop_front();
   }
-  mRevision = aRevision;
 }
 
 bool
-leaf_directory::KnowsRemovalsSince(model::store_revision aRevision) const
+leaf_directory::KnowsRemovalsSince(const key_revisions& aBase) const
 {
-  return aRevision >= mHistoryStart && aRevision.Era() == mRevision.Era() &&
-         std::none_of(mSkippedRevisions.begin(),
-                      mSkippedRevisions.end(),
-                      [&](const auto& aRange) {
-                        return aRevision > aRange.first &&
-                               aRevision < aRange.second;
-                      });
+  const model::store_revision base = aBase.Least();
+  // Revisions of ranges are those that this directory had itself.
+  return base >= mHistoryStart && base.Era() == mRevision.Era() &&
+         (!aBase.IsUniform() || std::none_of(mSkippedRevisions.begin(),
+                                             mSkippedRevisions.end(),
+                                             [&](const auto& aRange) {
+                                               return base > aRange.first &&
+                                                      base < aRange.second;
+                                             }));
 }
 
 bool
@@ -315,11 +361,12 @@
     return true;
   }
   // A leaf that came after the base and has left is not in the delta.
-  if (aDelta.mBaseRevision != mRevision) {
+  if (aDelta.mBaseRevision != mRevision ||
+      mKnownRevisions.AnyBelow(aDelta.BaseRevisions())) {
     return false;
   }
   RemoveUnlisted(aDelta);
-  mRevision = aDelta.mRevision;
+  RaiseRevisions(aDelta.Revisions());
   return true;
 }
 
@@ -331,16 +378,18 @@
   for (const leaf_registration& leaf : aDelta.mChangedLeaves) {
     listed.insert(leaf.mId);
   }
+  const key_revisions revisions = aDelta.Revisions();
+  const key_revisions base = aDelta.BaseRevisions();
   std::vector<std::string> unlisted;
   for (const auto& [id, leaf] : mLeaves) {
     const model::store_revision revision = leaf.mRegistration.mRevision;
-    if (revision > aDelta.mBaseRevision && revision <= aDelta.mRevision &&
-        !listed.contains(id)) {
+    if (revision > base.At(id) && revision <= revisions.At(id) &&
+        revisions.At(id) >= mKnownRevisions.At(id) && !listed.contains(id)) {
       unlisted.push_back(id);
     }
   }
   for (const std::string& id : unlisted) {
-    Remove(id, aDelta.mRevision);
+    Remove(id, revisions.At(id));
   }
 }
 
@@ -350,7 +399,9 @@
   if (aDelta.mBaseRevision != model::store_revision()) {
     return false;
   }
-  directory_snapshot snapshot{ aDelta.mRevision, aDelta.mChangedLeaves };
+  directory_snapshot snapshot{ aDelta.mRevision,
+                               aDelta.mChangedLeaves,
+                               aDelta.mRanges };
   std::erase_if(snapshot.mLeaves, [&](const leaf_registration& aLeaf) {
     return mRemovedLeaves.contains(aLeaf.mId) &&
            std::find(aDelta.mMissingIds.begin(),
@@ -358,6 +409,12 @@
                      aLeaf.mId) != aDelta.mMissingIds.end();
   });
   OnSnapshot(snapshot, aReadAt);
+  for (const std::string& id : aDelta.mRemovedIds) {
+    const auto later = aDelta.mLaterRevisions.find(id);
+    if (later != aDelta.mLaterRevisions.end()) {
+      OnMissing(id, later->second, false);
+    }
+  }
   for (const std::string& id : aDelta.mMissingIds) {
     mMissingRevisions[id] = aDelta.mRevision;
   }
@@ -368,6 +425,7 @@
 leaf_directory::OnDelta(const directory_delta& aDelta, model::instant aNow)
 {
   if (IsOutdated(aDelta)) {
+    ApplyNewerRanges(aDelta);
     return true;
   }
   if (Replace(aDelta, aNow)) {
@@ -388,6 +446,7 @@
                                 std::optional<model::instant> aCompleteAt)
 {
   if (IsOutdated(aDelta)) {
+    ApplyNewerRanges(aDelta);
     return true;
   }
   if (aCompleteAt && Replace(aDelta, *aCompleteAt)) {
@@ -406,28 +465,56 @@
   return true;
 }
 
+key_revisions
+leaf_directory::DeltaBase() const
+{
+  return mRevision < mHistoryStart ? mHistoryStart : mKnownRevisions;
+}
+
 directory_delta
 leaf_directory::ChangesSince(model::store_revision aRevision) const
 {
+  return MakeDelta(aRevision);
+}
+
+directory_delta
+leaf_directory::MakeDelta(const key_revisions& aBase) const
+{
+  const model::store_revision base = aBase.Least();
   directory_delta delta;
-  const bool knowsRemovals = KnowsRemovalsSince(aRevision);
-  delta.mBaseRevision = knowsRemovals ? aRevision : model::store_revision();
+  const bool knowsRemovals = KnowsRemovalsSince(aBase);
+  if (knowsRemovals) {
+    delta.mBaseRevision = base;
+    delta.mBaseRanges = aBase.IsUniform() ? key_revisions() : aBase;
+  }
   delta.mRevision = mRevision;
+  if (!mKnownRevisions.IsUniform()) {
+    delta.mRanges = mKnownRevisions;
+  }
+  const auto addRevision = [&](const std::string& aId,
+                               model::store_revision aKnownAt) {
+    if (aKnownAt > mKnownRevisions.At(aId)) {
+      delta.mLaterRevisions[aId] = aKnownAt;
+    }
+  };
   for (const auto* leaves : { &mLeaves, &mRestoredLeaves }) {
     for (const auto& [id, leaf] : *leaves) {
       // A peer that has removed a missing leaf must not get it back.
-      if (aRevision != model::store_revision() &&
-          mMissingRevisions.contains(id)) {
+      if (base != model::store_revision() && mMissingRevisions.contains(id)) {
         continue;
       }
-      if (knowsRemovals ? leaf.mSeenAt > aRevision : IsOfThisEra(leaf)) {
+      if (knowsRemovals ? leaf.mSeenAt > aBase.At(id) : IsOfThisEra(leaf)) {
         delta.mChangedLeaves.push_back(leaf.mRegistration);
+        if (leaf.mSeenAt > leaf.mRegistration.mRevision) {
+          addRevision(id, leaf.mSeenAt);
+        }
       }
     }
   }
   for (const auto& [id, removed] : mRemovedLeaves) {
-    if (removed.mRevision > aRevision) {
+    if (removed.mRevision > aBase.At(id)) {
       delta.mRemovedIds.push_back(id);
+      addRevision(id, removed.mRevision);
     }
   }
   for (const auto& [id, revision] : mMissingRevisions) {
@@ -435,6 +522,7 @@
     // Those of an earlier era are missing for all peers of this one.
     if (leaf == mLeaves.end() || IsOfThisEra(leaf->second)) {
       delta.mMissingIds.push_back(id);
+      addRevision(id, revision);
     }
   }
   return delta;
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -44,10 +44,15 @@
   {
   }
 
-  /** @return Changes to send to peers; nothing if the snapshot is older than
-   * the directory. */
+  /** Takes the pages that are not older than what is known of their keys.
+   * @return Changes to send to peers; nothing if all pages are older. */
   std::optional<directory_delta> OnSnapshot(const directory_snapshot& aSnapshot,
                                             model::instant aNow);
+  /** Whether pages of a snapshot are older than what is known of their keys. */
+  bool KnowsNewerThan(const directory_snapshot& aSnapshot) const
+  {
+    return aSnapshot.Revisions().AnyBelow(mKnownRevisions);
+  }
   /** Merges a delta that a peer sent after it had read the store.
    * @return Whether all changes up to the delta's revision are known. */
   bool OnDelta(const directory_delta& aDelta, model::instant aNow);
@@ -78,6 +83,7 @@
   };
   changes TakeChanges();
 
+  /** Revision up to which all changes are known. */
   model::store_revision Revision() const { return mRevision; }
   /** Time at which the directory was last known to be complete. */
   std::optional<model::instant> LastCompleteTime() const
@@ -103,10 +109,15 @@
   };
 
   /**
-   * Adds or updates a registration, unless a newer one or its removal is known.
+   * Adds or updates a registration, unless the leaf is known at a later
+   * revision: if it is not listed then, it has left, also where its removal is
+   * no longer remembered.
    * @param aSeenAt Store revision at which the registration existed.
    */
   void Put(const leaf_registration& aLeaf, model::store_revision aSeenAt);
+  /** Adds or updates a registration, unless a newer one or its removal is
+   * remembered. */
+  void Merge(const leaf_registration& aLeaf, model::store_revision aSeenAt);
   /** Records that the store was read, by this instance or by a peer.
    * @return Whether missing registrations are kept, as in
    * UpdateReregistrationPeriod. */
@@ -115,29 +126,40 @@
    * @return Whether the period is running, so that missing registrations are
    * kept. */
   bool UpdateReregistrationPeriod(model::instant aNow);
-  /** Keeps or removes a leaf that the store does not list at a revision. */
+  /** Keeps or removes a leaf that the store does not list at a revision, unless
+   * the leaf is known at a later one. */
   void OnMissing(const std::string& aId,
                  model::store_revision aRevision,
                  bool aKeep);
   /** Removes a registration and remembers the removal.
    * @return Whether no newer registration is known. */
   bool Remove(const std::string& aId, model::store_revision aRevision);
-  /** Whether all that a delta can contain is known. A leaf in it that is not
-   * known has been removed since. */
+  /** Whether all changes up to a delta's revision are known. A leaf in it that
+   * is not known has been removed since, unless it is in a range of ids that
+   * the sender knows at a later revision. */
   bool IsOutdated(const directory_delta& aDelta) const
   {
     return aDelta.mRevision < mRevision;
   }
+  /** Takes over revisions at which registrations are known. */
+  void RaiseRevisions(const key_revisions& aRevisions);
   /** Applies the content of a delta. */
   void ApplyDelta(const directory_delta& aDelta);
-  /** Advances the revision after a snapshot was applied, and remembers which
-   * revisions were skipped. */
-  void SkipTo(model::store_revision aRevision);
+  /** Applies what an outdated delta contains beyond the known revisions. */
+  void ApplyNewerRanges(const directory_delta& aDelta);
+  /** Advances the revisions after a snapshot was applied, and remembers which
+   * ones were skipped. */
+  void SkipTo(const key_revisions& aRevisions);
   /** Removes leaves that were known from an incomplete delta before and are not
    * in a complete one that covers their revisions. */
   void RemoveUnlisted(const directory_delta& aDelta);
-  /** Whether all removals since a revision of this era are known. */
-  bool KnowsRemovalsSince(model::store_revision aRevision) const;
+  /** Revisions before a read, for the changes that it brings. */
+  key_revisions DeltaBase() const;
+  /** As ChangesSince(), for a peer that knows these revisions. */
+  directory_delta MakeDelta(const key_revisions& aBase) const;
+  /** Whether all removals since revisions of this era are known.
+   * @param aBase One revision for all ids, or those that this directory had. */
+  bool KnowsRemovalsSince(const key_revisions& aBase) const;
   /** Advances the revision after a delta was applied.
    * @return Whether all changes up to the delta's revision are known. */
   bool AdvanceTo(const directory_delta& aDelta);
@@ -171,7 +193,9 @@
   /** Ids of leaves that are missing in the store but kept for now, with the
    * store revision at which each was absent. */
   std::map<std::string, model::store_revision> mMissingRevisions;
-  model::store_revision mRevision;
+  model::store_revision mRevision; ///< The lowest of mKnownRevisions.
+  /** Revisions at which it is known, by id, which leaves are registered. */
+  key_revisions mKnownRevisions;
   /** Removals since this store revision are remembered. */
   model::store_revision mHistoryStart;
   /** Ranges that snapshots have skipped, without their ends: leaves that came
--- a/src/serving/leaf_registration_type.h
+++ b/src/serving/leaf_registration_type.h
@@ -8,8 +8,10 @@
 #include "model/endpoint_type.h"
 #include "model/store_revision_type.h"
 #include "model/time_type.h"
+#include "serving/key_revisions_type.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -39,11 +41,21 @@
   }
 };
 
-/** All registrations at one revision of the store. */
+/** All registrations, as read from the store page by page. */
 struct directory_snapshot
 {
-  model::store_revision mRevision; ///< At the read's first page.
+  model::store_revision mRevision; ///< The lowest of the pages' revisions.
   std::vector<leaf_registration> mLeaves;
+  /** Revisions of the pages, by id; does not apply where it is below mRevision.
+   */
+  key_revisions mRanges{};
+
+  key_revisions Revisions() const
+  {
+    key_revisions revisions(mRevision);
+    revisions.Raise(mRanges);
+    return revisions;
+  }
 };
 
 /** Difference between two states of the directory, as sent to peers. */
@@ -58,7 +70,27 @@
   /** All leaves that are missing in the store at mRevision, but may register
    * again. */
   std::vector<std::string> mMissingIds;
+  /** Revisions by id where the sender knows the registrations at a higher one
+   * than mRevision. */
+  key_revisions mRanges{};
+  /** The same for mBaseRevision. */
+  key_revisions mBaseRanges{};
+  /** Revisions of single entries, by id, that the sender knows at a later
+   * revision than the others of their range. */
+  std::map<std::string, model::store_revision> mLaterRevisions{};
 
+  key_revisions Revisions() const
+  {
+    key_revisions revisions(mRevision);
+    revisions.Raise(mRanges);
+    return revisions;
+  }
+  key_revisions BaseRevisions() const
+  {
+    key_revisions revisions(mBaseRevision);
+    revisions.Raise(mBaseRanges);
+    return revisions;
+  }
   bool operator==(const directory_delta&) const = default;
 };
 
--- a/test/adapter/standin_store.cpp
+++ b/test/adapter/standin_store.cpp
@@ -114,7 +114,8 @@
   } else if (path == "/monsooncroft/kv-range") {
     AnswerRange(aConnection,
                 Parameter(target, "prefix"),
-                DecodeQueryText(Parameter(target, "after")));
+                DecodeQueryText(Parameter(target, "after")),
+                Parameter(target, "serializable") == "1");
   } else if (path == "/monsooncroft/kv-watch") {
     const watch request{ &aConnection,
                          Parameter(target, "prefix"),
@@ -138,10 +139,16 @@
              { "revision", mLastChanges.at(aKey) },
              { "removed", true } };
   }
+  return Item(aKey, found->second);
+}
+
+nlohmann::json
+standin_store::Item(const std::string& aKey, const copy::item& aItem)
+{
   return { { "key", aKey },
-           { "value", EncodeBase64(found->second.mValue) },
-           { "revision", found->second.mRevision },
-           { "created", found->second.mRevision },
+           { "value", EncodeBase64(aItem.mValue) },
+           { "revision", aItem.mRevision },
+           { "created", aItem.mRevision },
            { "lease", 0 } };
 }
 
@@ -161,11 +168,13 @@
 void
 standin_store::AnswerRange(gateway::fake_leaf::connection& aConnection,
                            const std::string& aPrefix,
-                           const std::string& aAfter)
+                           const std::string& aAfter,
+                           bool aMayBeStale)
 {
+  const copy shown = mPageSource ? mPageSource(aAfter, aMayBeStale) : mContent;
   json items = json::array();
   bool hasMore = false;
-  for (const auto& [key, item] : mContent.mItems) {
+  for (const auto& [key, item] : shown.mItems) {
     if (!key.starts_with(aPrefix) || key <= aAfter) {
       continue;
     }
@@ -173,11 +182,11 @@
     if (hasMore) {
       break;
     }
-    items.push_back(Item(key));
+    items.push_back(Item(key, item));
   }
   const json body{ { "items", items },
                    { "has_more", hasMore },
-                   { "store_revision", mContent.mRevision } };
+                   { "store_revision", shown.mRevision } };
   Write(aConnection, 200, body.dump());
 }
 
--- a/test/adapter/standin_store.h
+++ b/test/adapter/standin_store.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -46,6 +47,10 @@
   /** Never answers watches from now on, as on connections that have fallen
    * silent. */
   void SilenceWatches() { mWatchesAreSilent = true; }
+  /** Chooses the content that a page of a range shows, by the key that it
+   * begins after and whether it may be stale. */
+  using page_source = std::function<copy(const std::string&, bool)>;
+  void SetPageSource(page_source aSource) { mPageSource = std::move(aSource); }
   /** Sets the number of items in a page of a range. */
   void SetPageItems(std::size_t aItems) { mPageItems = aItems; }
   std::uint64_t Revision() const { return mContent.mRevision; }
@@ -65,13 +70,15 @@
                  const std::string& aKey);
   void AnswerRange(gateway::fake_leaf::connection& aConnection,
                    const std::string& aPrefix,
-                   const std::string& aAfter);
+                   const std::string& aAfter,
+                   bool aMayBeStale);
   /** @return Whether there are changes to return. */
   bool AnswerWatch(const watch& aWatch);
   void AnswerWatches();
   void Write(gateway::fake_leaf::connection& aConnection,
              int aStatus,
              const std::string& aBody) const;
+  static nlohmann::json Item(const std::string& aKey, const copy::item& aItem);
   nlohmann::json Item(const std::string& aKey) const;
 
   copy mContent;
@@ -81,6 +88,7 @@
   std::vector<watch> mWatches;
   bool mWatchesAreSilent = false;
   std::size_t mPageItems = 500;
+  page_source mPageSource;
   gateway::fake_leaf mServer;
 };
 
--- a/test/serving/fleet_membership_test.cpp
+++ b/test/serving/fleet_membership_test.cpp
@@ -315,6 +315,29 @@
   EXPECT_FALSE(DecodeSnapshotRequest(request.substr(0, request.size() - 1)));
 }
 
+/** Guards against leaves that return: a peer that takes the lowest revision of
+ * several for all ids accepts older states of the others. */
+TEST(FleetCodec, RevisionsOfRangesRoundTrip)
+{
+  fleet_snapshot snapshot;
+  snapshot.mDirectory.mRevision = 5;
+  snapshot.mDirectory.mRemovedIds = { "a", "m" };
+  snapshot.mDirectory.mRanges.Raise("c", "k", 9);
+  snapshot.mDirectory.mRanges.Raise("t", std::nullopt, 7);
+  snapshot.mDirectory.mLaterRevisions["m"] = 8;
+  const auto decoded = DecodeSnapshot(EncodeSnapshot(snapshot));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->mDirectory, snapshot.mDirectory);
+  fleet_message message;
+  message.mMembers = { fleet_member{} };
+  message.mDirectoryDeltas = { snapshot.mDirectory };
+  message.mDirectoryDeltas[0].mBaseRevision = 4;
+  message.mDirectoryDeltas[0].mBaseRanges.Raise("", "c", 5);
+  const auto decodedMessage = DecodeMessage(EncodeMessage(message));
+  ASSERT_TRUE(decodedMessage);
+  EXPECT_EQ(decodedMessage->mDirectoryDeltas, message.mDirectoryDeltas);
+}
+
 TEST(FleetCodec, RoundTrips)
 {
   fleet_member member;
--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -145,6 +145,37 @@
   EXPECT_EQ(directory.Revision(), 20U);
 }
 
+/** Guards against requests to a leaf that has left: a watch was answered before
+ * the leaf left, and its answer arrived behind that of a read, which does not
+ * list the leaf. */
+TEST(LeafDirectory, ALateWatchDoesNotBringBackALeafThatWasNotKnown)
+{
+  leaf_directory directory;
+  directory.OnSnapshot({ 10, { Leaf("a", 1) } }, kStart);
+  directory.OnSnapshot({ 20, { Leaf("a", 1) } }, kStart);
+  directory.OnWatch({ 10, 12, { Leaf("b", 12) }, {} }, kStart);
+  EXPECT_EQ(directory.Size(), 1U);
+  EXPECT_EQ(directory.Revision(), 20U);
+}
+
+/** Guards against requests to a leaf that has left: the memory of removed
+ * leaves is bounded, and a leaf that was dropped from it returned with an old
+ * answer. */
+TEST(LeafDirectory, ALeafWhoseRemovalIsForgottenDoesNotReturn)
+{
+  constexpr int kRemovals = 5'000;
+  leaf_directory directory;
+  directory.OnSnapshot({ 10, { Leaf("a", 1), Leaf("b", 2) } }, kStart);
+  directory.OnWatch({ 10, 11, {}, { "b" } }, kStart);
+  directory_delta removals{ 11, 12, {}, {} };
+  for (int index = 0; index < kRemovals; ++index) {
+    removals.mRemovedIds.push_back("c" + std::to_string(index));
+  }
+  directory.OnWatch(removals, kStart);
+  directory.OnWatch({ 9, 10, { Leaf("b", 2) }, {} }, kStart);
+  EXPECT_EQ(directory.Size(), 1U);
+}
+
 TEST(LeafDirectory, ARemovedLeafMayReturnWithItsOldRevision)
 {
   leaf_directory directory;
