A starting instance takes itself to know removals between its first pages

The first read of a starting instance had pages of two revisions, and it took itself to know all removals since the lower one. A leaf on a page of the higher one that had left in between was unknown to it, so that a peer that pulled the changes since the lower revision kept the leaf, until it read the store itself.

Change: the known removals begin at the highest revision of the first pages, as in the first read of an era.

Failed before: LeafDirectory.AStartingInstanceKnowsNoRemovalsBetweenItsPages.

--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -275,10 +275,10 @@
     return std::nullopt;
   }
   const bool complete = !revisions.AnyBelow(mKnownRevisions);
-  UpdateEra(aSnapshot.mRevision, aNow);
+  UpdateEra(revisions.Greatest(), aNow);
   const bool keepMissing = OnStoreRead(aNow);
   if (mRevision == model::store_revision()) {
-    mHistoryStart = aSnapshot.mRevision;
+    mHistoryStart = revisions.Greatest();
   }
   const key_revisions base = DeltaBase();
   std::set<std::string> present;
--- a/test/adapter/paged_reads_test.cpp
+++ b/test/adapter/paged_reads_test.cpp
@@ -327,19 +327,24 @@
     for (const auto& leaf : changes.mChangedLeaves) {
       aInstance.mKnown[leaf.mId] = { leaf.mIncarnation, leaf.mDraining };
     }
+    // All changes up to the directory's revision are known.
+    const model::store_revision revision = aInstance.mDirectory.Revision();
+    for (int index = 0; index < kIds && revision.Number() > 0; ++index) {
+      Show(aInstance, Id(index), revision.Number());
+    }
     for (auto& [id, shownAt] : aInstance.mShownAt) {
       const auto found = aInstance.mKnown.find(id);
       const leaf_state known =
         found == aInstance.mKnown.end() ? leaf_state() : found->second;
-      std::uint64_t revision = shownAt;
-      while (revision <= mStore.Revision() && StateAt(id, revision) != known) {
-        ++revision;
+      std::uint64_t matching = shownAt;
+      while (matching <= mStore.Revision() && StateAt(id, matching) != known) {
+        ++matching;
       }
-      ASSERT_LE(revision, mStore.Revision())
+      ASSERT_LE(matching, mStore.Revision())
         << id << " is known as " << known.first << ", "
         << (known.second ? "draining" : "ready")
         << ", which it was before revision " << shownAt;
-      shownAt = revision;
+      shownAt = matching;
     }
   }
 
--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -459,6 +459,31 @@
   EXPECT_EQ(peer.Size(), 1U);
 }
 
+/** Guards against requests to a leaf that has left: a starting instance whose
+ * first read has pages of two revisions took itself to know all removals since
+ * the lower one. */
+TEST(LeafDirectory, AStartingInstanceKnowsNoRemovalsBetweenItsPages)
+{
+  const auto at = [](std::uint64_t aNumber) {
+    return model::store_revision(aNumber, 1);
+  };
+  const auto leaf = [&](const std::string& aId) {
+    leaf_registration registration = Leaf(aId, 0);
+    registration.mRevision = at(1);
+    return registration;
+  };
+  leaf_directory starting;
+  directory_snapshot pages{ at(10), { leaf("c") } };
+  pages.mRanges.Raise("", "b", at(20));
+  starting.OnSnapshot(pages, kStart);
+  starting.OnWatch({ at(10), at(21), {}, {} }, kStart);
+  leaf_directory peer;
+  // It leaves at revision 15, which the first page is beyond.
+  peer.OnSnapshot({ at(10), { leaf("a"), leaf("c") } }, kStart);
+  EXPECT_TRUE(peer.OnPulledChanges(starting.ChangesSince(at(10)), kStart));
+  EXPECT_EQ(peer.Size(), 1U);
+}
+
 /** An instance learns of a leaf from changes that it cannot apply as complete,
  * and gets the complete ones only after the leaf has left. */
 TEST(LeafDirectory, ALeafKnownFromIncompleteChangesDoesNotStay)
