Peers keep a leaf that came and left while a reader skipped revisions

A leaf came and left between two reads of a reader. A peer had learned of it from another reader. It pulled the changes since its own revision from a third instance, which had advanced by the reader's changes and took itself to know all removals since any revision in between. The peer would have sent requests to the leaf until it read the store itself (DRAIN).

Change: an instance that advances by a peer's changes remembers the revisions in between as skipped, as after a read of its own, and sends all registrations to peers that are there. 128 such ranges are remembered instead of 32, since changes come more often than reads.

Failed before: LeafDirectory.APeerOfAReaderDoesNotCloseTheGapThatTheReaderSkipped.

--- a/src/serving/leaf_directory.cpp
+++ b/src/serving/leaf_directory.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kMaxRemovedIds = 4'096;
 /** Ranges of skipped revisions that are remembered; the history begins after
  * older ones. */
-constexpr std::size_t kMaxSkippedRanges = 32;
+constexpr std::size_t kMaxSkippedRanges = 128;
 
 /** A later registration of a known leaf. If it is the first one of a later era,
  * it may be from a copy that is older than the known one: then a drain of the
@@ -417,7 +417,8 @@
     return false;
   }
   RemoveUnlisted(aDelta);
-  RaiseRevisions(aDelta.Revisions());
+  // The sender may have skipped revisions in between.
+  SkipTo(aDelta.Revisions());
   return true;
 }
 
--- a/src/serving/leaf_directory_base.h
+++ b/src/serving/leaf_directory_base.h
@@ -173,8 +173,8 @@
   void ApplyDelta(const directory_delta& aDelta, bool aKeepMissing);
   /** Applies what an outdated delta contains beyond the known revisions. */
   void ApplyNewerRanges(const directory_delta& aDelta);
-  /** Advances the revisions after a snapshot was applied, and remembers which
-   * ones were skipped. */
+  /** Advances the revisions after a snapshot or a delta was applied, and
+   * remembers which ones may have been skipped. */
   void SkipTo(const key_revisions& aRevisions);
   /** Removes leaves that were known from an incomplete delta before and are not
    * in a complete one that covers their revisions. */
@@ -224,8 +224,8 @@
   key_revisions mKnownRevisions;
   /** Removals since this store revision are remembered. */
   model::store_revision mHistoryStart;
-  /** Ranges that snapshots have skipped, without their ends: leaves that came
-   * and left between are not known. */
+  /** Ranges that snapshots and changes of peers may have skipped, without their
+   * ends: leaves that came and left between are not known. */
   std::deque<std::pair<model::store_revision, model::store_revision>>
     mSkippedRevisions;
   std::optional<model::instant> mLastCompleteTime;
--- a/test/serving/leaf_directory_test.cpp
+++ b/test/serving/leaf_directory_test.cpp
@@ -459,6 +459,28 @@
   EXPECT_EQ(peer.Size(), 1U);
 }
 
+/** Guards against requests to a leaf that has left: it came and left between
+ * two reads of a reader. A peer that had learned of it from another reader
+ * pulled from a third one, which knew the reader's changes only and took its
+ * removals for complete. */
+TEST(LeafDirectory, APeerOfAReaderDoesNotCloseTheGapThatTheReaderSkipped)
+{
+  leaf_directory reader;
+  leaf_directory peer;
+  for (leaf_directory* directory : { &reader, &peer }) {
+    directory->OnSnapshot({ 10, { Leaf("a", 1) } }, kStart);
+  }
+  leaf_directory other;
+  other.OnSnapshot({ 15, { Leaf("a", 1), Leaf("b", 12) } }, kStart);
+  const auto delta = reader.OnSnapshot({ 20, { Leaf("a", 1) } }, kStart);
+  ASSERT_TRUE(delta);
+  EXPECT_TRUE(peer.OnDelta(*delta, kStart));
+  EXPECT_FALSE(other.OnDelta(*delta, kStart));
+  EXPECT_TRUE(other.OnPulledChanges(peer.ChangesSince(15), kStart));
+  EXPECT_EQ(other.Revision(), 20U);
+  EXPECT_EQ(other.Size(), 1U);
+}
+
 /** Guards against requests to a leaf that has left: a starting instance whose
  * first read has pages of two revisions took itself to know all removals since
  * the lower one. */
